Lay the base: contracts, ids, codec, errors, tools and design

Cause: an empty repository. Change: the tools pinned and called by one command (formatter, hacking, mypy strict, pytest, behave), the shared vocabulary (ids, errors, codec, contract), and the chosen design in docs.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Every target sets up the virtual environment by itself.
+PY ?= .venv/bin/python
+SEED ?= 1
+SECONDS ?= 30
+export PYTHONPATH := $(CURDIR)
+export PYTHONHASHSEED := 0
+
+.PHONY: all test format lint types unit behave demo soak bench capacity clean
+
+all: test
+
+.venv/.done: requirements.txt
+	test -x .venv/bin/python || python3 -m venv .venv
+	.venv/bin/pip install -q -r requirements.txt
+	touch .venv/.done
+
+test: format lint types unit behave
+
+format: .venv/.done
+	$(PY) -m ruff format --check .
+
+lint: .venv/.done
+	$(PY) -m flake8 .
+
+types: .venv/.done
+	$(PY) -m mypy
+
+unit: .venv/.done
+	$(PY) -m pytest
+
+behave: .venv/.done
+	$(PY) -m behave -f progress
+
+demo: .venv/.done
+	$(PY) -m foxtailworks.bench.demo
+
+soak: .venv/.done
+	$(PY) -m foxtailworks.bench.soak --seed $(SEED) --seconds $(SECONDS)
+
+bench: .venv/.done
+	$(PY) -m foxtailworks.bench
+
+capacity: .venv/.done
+	$(PY) -m foxtailworks.bench.capacity
+
+clean:
+	rm -rf build var
--- /dev/null
+++ b/foxtailworks/errors/_codes.py
@@ -0,0 +1,51 @@
+"""The table of result codes; docs/ERRORS.md is checked against it."""
+
+import enum
+
+_MEANINGS: dict[int, str] = {}
+
+
+class Code(enum.IntEnum):
+    """One number for each kind of outcome that a person can meet."""
+
+    def __new__(cls, value: int, meaning: str) -> "Code":
+        """Keep the meaning of a number beside its name."""
+        member = int.__new__(cls, value)
+        member._value_ = value
+        _MEANINGS[value] = meaning
+        return member
+
+    OK = 0, "Done."
+    INTERNAL = 1, "A fault of the program itself; report it."
+    # 1000: settings
+    SETTINGS_INVALID = 1001, "A settings file has a wrong or unknown field."
+    SETTINGS_UNREADABLE = 1002, "A settings file can't be read or parsed."
+    # 2000: wire and links
+    MESSAGE_MALFORMED = 2001, "A message is cut short, unknown or ill-typed."
+    MESSAGE_TOO_LARGE = 2002, "A message is larger than its limit."
+    LINK_REFUSED = 2003, "The other side refused the link (certificate)."
+    LINK_LOST = 2004, "The link broke before an answer came."
+    NOT_LEADER = 2005, "This keeper doesn't lead; ask the one it names."
+    # 3000: contracts
+    CONTRACT_INVALID = 3001, "A contract is contradictory or ill-formed."
+    VERSION_CONFLICT = 3002, "Another edit took this version first."
+    EDIT_UNKNOWN = 3003, "Whether the edit was accepted isn't known."
+    CONTRACT_MISSING = 3004, "There is no contract for this customer."
+    # 4000: agreement and journal
+    JOURNAL_DAMAGED = 4001, "The log on disk is damaged in its middle."
+    JOURNAL_UNWRITABLE = 4002, "The disk refused a write or a sync."
+    NO_QUORUM = 4003, "A majority of keepers can't be reached."
+    # 5000: flows and placement
+    NO_UPSTREAM = 5001, "No upstream of the service can take new work."
+    TABLE_FULL = 5002, "A bounded table is full."
+    # 6000: requests
+    REQUEST_NOT_RUN = 6001, "The request was not run and won't be."
+    OUTCOME_UNKNOWN = 6002, "Whether the request ran isn't known."
+    REQUEST_MALFORMED = 6003, "The request is malformed."
+    # 7000: limits
+    LIMIT_REACHED = 7001, "The contract's limit is reached."
+
+
+def describe(code: Code) -> str:
+    """Return the meaning of ``code`` in one sentence."""
+    return _MEANINGS[code.value]
--- /dev/null
+++ b/foxtailworks/errors/_exceptions.py
@@ -0,0 +1,25 @@
+"""The one exception type of the project."""
+
+from foxtailworks.errors import _codes
+
+
+class FoxtailError(Exception):
+    """An error with a numbered code and what a person can act on.
+
+    :param code: the numbered result code
+    :param detail: what happened, in a sentence
+    :param context: names and values that help to find the place
+    """
+
+    def __init__(
+        self, code: _codes.Code, detail: str, **context: object
+    ) -> None:
+        self.code = code
+        self.detail = detail
+        self.context = context
+        super().__init__(str(self))
+
+    def __str__(self) -> str:
+        """Show code, detail and context on one line."""
+        pairs = "".join(f" {k}={v}" for k, v in self.context.items())
+        return f"[{self.code.value}] {self.detail}{pairs}"
