--- /dev/null
+++ b/foxtailworks/coap/__init__.py
@@ -0,0 +1,46 @@
+"""CoAP messages as the entry host needs them (RFC 7252, RFC 7959).
+
+aiocoap supplies the codec; this package names what the product reads and
+writes: keys, deadlines, blocks, and the answers that are not an upstream's.
+
+Example::
+
+    req = coap.read_request(data)
+    data = coap.not_run(req, retry_after_s=2)
+"""
+
+from foxtailworks.coap._message import Kind
+from foxtailworks.coap._message import kind_of
+from foxtailworks.coap._message import Method
+from foxtailworks.coap._message import Option
+from foxtailworks.coap._message import read_answer
+from foxtailworks.coap._message import read_request
+from foxtailworks.coap._message import Request
+from foxtailworks.coap._message import UpstreamAnswer
+from foxtailworks.coap._write import answer_from_upstream
+from foxtailworks.coap._write import bad_request
+from foxtailworks.coap._write import cancel_request
+from foxtailworks.coap._write import compose
+from foxtailworks.coap._write import forward_request
+from foxtailworks.coap._write import not_run
+from foxtailworks.coap._write import outcome_unknown
+from foxtailworks.coap._write import reset
+
+__all__ = [
+    "Kind",
+    "Method",
+    "Option",
+    "Request",
+    "UpstreamAnswer",
+    "answer_from_upstream",
+    "bad_request",
+    "cancel_request",
+    "compose",
+    "forward_request",
+    "kind_of",
+    "not_run",
+    "outcome_unknown",
+    "read_answer",
+    "read_request",
+    "reset",
+]
--- /dev/null
+++ b/foxtailworks/coap/_message.py
@@ -0,0 +1,257 @@
+"""Reading CoAP messages into frozen values."""
+
+import dataclasses
+import enum
+import hashlib
+import struct
+
+import aiocoap
+from aiocoap import error as coap_error
+
+from foxtailworks import errors
+from foxtailworks import ids
+
+MAX_TOKEN_BYTES = 8
+MAX_KEY_BYTES = 32
+KEY_BYTES = 16
+MAX_DEADLINE_MS = 600_000
+_HEADER_BYTES = 4
+
+
+class Option(enum.IntEnum):
+    """Option numbers; the last two are elective and experimental."""
+
+    IF_MATCH = 1
+    ETAG = 4
+    URI_PATH = 11
+    CONTENT_FORMAT = 12
+    MAX_AGE = 14
+    URI_QUERY = 15
+    ACCEPT = 17
+    BLOCK2 = 23
+    BLOCK1 = 27
+    SIZE2 = 28
+    IDEMPOTENCY_KEY = 65000
+    DEADLINE_MS = 65004
+
+
+class Method(enum.Enum):
+    """Request methods of RFC 7252."""
+
+    GET = 1
+    POST = 2
+    PUT = 3
+    DELETE = 4
+
+    @property
+    def idempotent(self) -> bool:
+        """Tell whether running it twice equals running it once."""
+        return self is not Method.POST
+
+
+class Kind(enum.Enum):
+    """What a datagram is, seen from its first bytes."""
+
+    REQUEST = "request"
+    ANSWER = "answer"
+    PING = "ping"
+    EMPTY = "empty"
+    OTHER = "other"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request as a caller sent it."""
+
+    method: Method
+    """What is asked for."""
+    confirmable: bool
+    """Answered in an acknowledgement when true."""
+    message_id: int
+    """Repeated in the acknowledgement."""
+    token: bytes
+    """Repeated in the answer; 0 to 8 bytes."""
+    path: str
+    """Uri-Path options joined by ``/``."""
+    key: bytes | None
+    """Idempotency key that the caller chose, 1 to 32 bytes."""
+    deadline_ms: int | None
+    """How long the caller waits, in milliseconds."""
+    block: int
+    """Number of the block of the answer that is asked for."""
+    raw: aiocoap.Message
+    """The message itself, for passing it on."""
+
+    def request_key(
+        self, service: ids.ServiceId, caller: ids.Address
+    ) -> ids.RequestKey:
+        """Return the key under which the request runs at most once.
+
+        Without a key of the caller's own, a retransmission is recognised
+        by caller, token and message id.
+        """
+        own = self.key
+        if own is not None:
+            parts = (b"own", service.encode(), own)
+        else:
+            derived = f"{caller} {self.message_id} {self.token.hex()}"
+            parts = (b"derived", service.encode(), derived.encode())
+        return ids.RequestKey(_digest(*parts))
+
+    def attempt_id(self, caller: ids.Address) -> bytes:
+        """Return what only retransmissions of this message share."""
+        text = f"{caller} {self.message_id} {self.token.hex()}"
+        return _digest(text.encode())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamAnswer:
+    """An answer as an upstream sent it."""
+
+    token: bytes
+    """Token of the request that it belongs to."""
+    code: int
+    """CoAP response code."""
+    more_blocks: bool
+    """More blocks of the body follow."""
+    retry_after_s: int
+    """Max-Age, in seconds."""
+    confirmable: bool
+    """An acknowledgement is expected."""
+    message_id: int
+    """Repeated in that acknowledgement."""
+    raw: aiocoap.Message
+    """The message itself, for passing it on."""
+
+    @property
+    def shed(self) -> bool:
+        """Tell whether the upstream confirms that it did not run it."""
+        return self.code == int(aiocoap.SERVICE_UNAVAILABLE)
+
+
+def _digest(*parts: bytes) -> bytes:
+    """Return 16 bytes over ``parts``, each with its length."""
+    whole = hashlib.blake2b(digest_size=KEY_BYTES)
+    for part in parts:
+        whole.update(len(part).to_bytes(2, "big"))
+        whole.update(part)
+    return whole.digest()
+
+
+def _malformed(reason: str) -> errors.FoxtailError:
+    """Return the error for a message that can't be read."""
+    return errors.FoxtailError(
+        errors.Code.REQUEST_MALFORMED, "CoAP message", reason=reason
+    )
+
+
+def kind_of(data: bytes) -> Kind:
+    """Tell what ``data`` is without decoding all of it."""
+    if len(data) < _HEADER_BYTES or data[0] >> 6 != 1:
+        return Kind.OTHER
+    code = data[1]
+    if code == 0:
+        confirmable = (data[0] >> 4) & 3 == int(aiocoap.CON)
+        return Kind.PING if confirmable else Kind.EMPTY
+    if code < 32:
+        return Kind.REQUEST
+    return Kind.ANSWER
+
+
+def _decode(data: bytes) -> aiocoap.Message:
+    """Decode ``data``; whatever the library raises becomes one error."""
+    if len(data) < _HEADER_BYTES:
+        raise _malformed("shorter than a header")
+    token_bytes = data[0] & 0x0F
+    if token_bytes > MAX_TOKEN_BYTES:
+        raise _malformed("token over 8 bytes")
+    if len(data) < _HEADER_BYTES + token_bytes:
+        raise _malformed("token cut short")
+    try:
+        return aiocoap.Message.decode(data)
+    except (
+        coap_error.Error,
+        ValueError,
+        IndexError,
+        AttributeError,
+        struct.error,
+    ) as exc:
+        raise _malformed(type(exc).__name__) from exc
+
+
+def _opaque(msg: aiocoap.Message, number: Option) -> bytes | None:
+    """Return the first value of an option that has no name of its own."""
+    found = msg.opt.get_option(int(number))
+    return bytes(found[0].value) if found else None
+
+
+def _deadline(msg: aiocoap.Message) -> int | None:
+    """Return the deadline that the caller named, within its bounds."""
+    raw = _opaque(msg, Option.DEADLINE_MS)
+    if raw is None:
+        return None
+    value = int.from_bytes(raw, "big")
+    if not 0 < value <= MAX_DEADLINE_MS:
+        raise _malformed("deadline out of range")
+    return value
+
+
+def _key(msg: aiocoap.Message) -> bytes | None:
+    """Return the idempotency key, within its bounds."""
+    raw = _opaque(msg, Option.IDEMPOTENCY_KEY)
+    if raw is not None and not 1 <= len(raw) <= MAX_KEY_BYTES:
+        raise _malformed("key must have 1 to 32 bytes")
+    return raw
+
+
+def _method(msg: aiocoap.Message) -> Method:
+    """Return the method, refusing those of later RFCs."""
+    try:
+        return Method(int(msg.code))
+    except ValueError as exc:
+        raise _malformed("method not served") from exc
+
+
+def read_request(data: bytes) -> Request:
+    """Return the request in ``data``.
+
+    :raises FoxtailError: ``REQUEST_MALFORMED``
+    """
+    msg = _decode(data)
+    if msg.opt.block1 is not None and (
+        msg.opt.block1.more or msg.opt.block1.block_number
+    ):
+        raise _malformed("bodies of several blocks are not taken")
+    block2 = msg.opt.block2
+    return Request(
+        method=_method(msg),
+        confirmable=msg.mtype is aiocoap.CON,
+        message_id=msg.mid,
+        token=msg.token,
+        path="/" + "/".join(msg.opt.uri_path),
+        key=_key(msg),
+        deadline_ms=_deadline(msg),
+        block=block2.block_number if block2 is not None else 0,
+        raw=msg,
+    )
+
+
+def read_answer(data: bytes) -> UpstreamAnswer:
+    """Return the upstream's answer in ``data``.
+
+    :raises FoxtailError: ``REQUEST_MALFORMED``
+    """
+    msg = _decode(data)
+    if not msg.code.is_response():
+        raise _malformed("not an answer")
+    block2 = msg.opt.block2
+    max_age = msg.opt.max_age
+    return UpstreamAnswer(
+        token=msg.token,
+        code=int(msg.code),
+        more_blocks=block2 is not None and block2.more,
+        retry_after_s=max_age if max_age is not None else 0,
+        confirmable=msg.mtype is aiocoap.CON,
+        message_id=msg.mid,
+        raw=msg,
+    )
--- /dev/null
+++ b/foxtailworks/coap/_write.py
@@ -0,0 +1,133 @@
+"""Writing CoAP messages: what is passed on, and what the product says."""
+
+import aiocoap
+from aiocoap import numbers
+from aiocoap import optiontypes
+
+from foxtailworks.coap import _message
+from foxtailworks import ids
+
+# Hop-by-hop and unknown to upstreams of others; written anew on each hop.
+_OWN_OPTIONS = frozenset(
+    (int(_message.Option.IDEMPOTENCY_KEY), int(_message.Option.DEADLINE_MS))
+)
+_DEADLINE_BYTES = 4
+CANCEL_PATH = "cancel"
+
+
+def compose(
+    kind: aiocoap.Type,
+    message_id: int,
+    code: aiocoap.Code,
+    token: bytes,
+    payload: bytes = b"",
+) -> aiocoap.Message:
+    """Return a message for the wire with all that its header holds."""
+    msg = aiocoap.Message(code=code, payload=payload)
+    msg.mtype = kind
+    msg.mid = message_id
+    msg.token = token
+    return msg
+
+
+def _opaque(number: _message.Option, value: bytes) -> object:
+    """Return an option that the library has no name for."""
+    return optiontypes.OpaqueOption(numbers.OptionNumber(int(number)), value)
+
+
+def _copy_options(source: aiocoap.Message, target: aiocoap.Message) -> None:
+    """Copy all options but the product's own."""
+    for option in source.opt.option_list():
+        if int(option.number) not in _OWN_OPTIONS:
+            target.opt.add_option(option)
+
+
+def forward_request(
+    req: _message.Request,
+    token: bytes,
+    message_id: int,
+    remaining_ms: int,
+    key: ids.RequestKey | None,
+) -> bytes:
+    """Return ``req`` for an upstream, under the host's own token."""
+    msg = compose(
+        aiocoap.CON, message_id, req.raw.code, token, req.raw.payload
+    )
+    _copy_options(req.raw, msg)
+    deadline = max(0, remaining_ms).to_bytes(_DEADLINE_BYTES, "big")
+    msg.opt.add_option(_opaque(_message.Option.DEADLINE_MS, deadline))
+    if key is not None:
+        msg.opt.add_option(_opaque(_message.Option.IDEMPOTENCY_KEY, key))
+    return bytes(msg.encode())
+
+
+def cancel_request(
+    key: ids.RequestKey, token: bytes, message_id: int
+) -> bytes:
+    """Ask an upstream never to start ``key``, if it has not yet."""
+    msg = compose(aiocoap.CON, message_id, aiocoap.POST, token)
+    msg.opt.uri_path = (CANCEL_PATH,)
+    msg.opt.add_option(_opaque(_message.Option.IDEMPOTENCY_KEY, key))
+    return bytes(msg.encode())
+
+
+def _reply(
+    req: _message.Request, code: object, payload: bytes
+) -> aiocoap.Message:
+    """Return an answer to ``req`` in the form that its type asks for."""
+    # A NON answer's message id only has to differ from recent ones of the
+    # same sender; hosts share the address, so it follows the request's.
+    kind = aiocoap.ACK if req.confirmable else aiocoap.NON
+    return compose(kind, req.message_id, code, req.token, payload)
+
+
+def answer_from_upstream(
+    req: _message.Request, answer: _message.UpstreamAnswer
+) -> bytes:
+    """Return the upstream's answer in the caller's terms."""
+    msg = _reply(req, answer.raw.code, answer.raw.payload)
+    _copy_options(answer.raw, msg)
+    return bytes(msg.encode())
+
+
+def _final(
+    req: _message.Request, code: object, text: str, retry_after_s: int
+) -> bytes:
+    """Return an answer of the product's own with the time to come back."""
+    msg = _reply(req, code, text.encode())
+    msg.opt.max_age = retry_after_s
+    return bytes(msg.encode())
+
+
+def not_run(req: _message.Request, retry_after_s: int) -> bytes:
+    """Tell that the request was not run and won't be (5.03)."""
+    code = aiocoap.SERVICE_UNAVAILABLE
+    return _final(req, code, "not run", retry_after_s)
+
+
+def outcome_unknown(req: _message.Request, retry_after_s: int) -> bytes:
+    """Tell that it isn't known whether the request ran (5.04)."""
+    code = aiocoap.GATEWAY_TIMEOUT
+    return _final(req, code, "outcome unknown", retry_after_s)
+
+
+def bad_request(data: bytes) -> bytes | None:
+    """Return 4.00 for a request that can't be read, if it can be told."""
+    if _message.kind_of(data) is not _message.Kind.REQUEST:
+        return None
+    size = data[0] & 0x0F
+    end = 4 + size
+    if size > _message.MAX_TOKEN_BYTES or len(data) < end:
+        return None
+    confirmable = (data[0] >> 4) & 3 == int(aiocoap.CON)
+    kind = aiocoap.ACK if confirmable else aiocoap.NON
+    message_id = int.from_bytes(data[2:4], "big")
+    msg = compose(kind, message_id, aiocoap.BAD_REQUEST, data[4:end])
+    return bytes(msg.encode())
+
+
+def reset(data: bytes) -> bytes:
+    """Return the reset that answers an empty confirmable message."""
+    message_id = int.from_bytes(data[2:4], "big")
+    msg = compose(aiocoap.RST, message_id, aiocoap.EMPTY, b"")
+    return bytes(msg.encode())
--- /dev/null
+++ b/foxtailworks/coap/tests/test_messages.py
@@ -0,0 +1,72 @@
+"""Requests are read whole; hostile ones get one numbered error."""
+
+import aiocoap
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from foxtailworks import coap
+from foxtailworks import errors
+from foxtailworks import ids
+
+CALLER = ids.Address("127.0.0.1", 4000)
+SERVICE = ids.ServiceId("slot-desk")
+FIXED = hypothesis.settings(derandomize=True, deadline=None)
+
+
+def _request(code=aiocoap.POST, mid=7, token=b"\x01\x02"):
+    msg = coap.compose(aiocoap.CON, mid, code, token, b"x")
+    msg.opt.uri_path = ("book", "now")
+    return msg
+
+
+def test_forwarding_keeps_the_request_and_adds_the_key():
+    req = coap.read_request(_request().encode())
+    key = req.request_key(SERVICE, CALLER)
+    data = coap.forward_request(req, b"tok", 9, 1500, key)
+    seen = coap.read_request(data)
+    assert (seen.path, seen.token, seen.key) == ("/book/now", b"tok", key)
+    assert seen.deadline_ms == 1500
+    assert seen.raw.payload == b"x"
+
+
+def test_answer_comes_back_in_the_callers_terms():
+    req = coap.read_request(_request().encode())
+    raw = coap.compose(aiocoap.ACK, 9, aiocoap.CHANGED, b"tok", b"done")
+    data = coap.answer_from_upstream(req, coap.read_answer(raw.encode()))
+    got = aiocoap.Message.decode(data)
+    assert (got.token, got.mid, got.payload) == (b"\x01\x02", 7, b"done")
+    assert got.mtype is aiocoap.ACK
+
+
+def test_retransmission_shares_key_and_attempt_new_message_does_not():
+    first = coap.read_request(_request().encode())
+    again = coap.read_request(_request().encode())
+    other = coap.read_request(_request(mid=8).encode())
+    key = first.request_key(SERVICE, CALLER)
+    assert again.request_key(SERVICE, CALLER) == key
+    assert other.request_key(SERVICE, CALLER) != key
+    assert first.attempt_id(CALLER) == again.attempt_id(CALLER)
+    assert other.attempt_id(CALLER) != first.attempt_id(CALLER)
+
+
+@FIXED
+@hypothesis.given(st.binary(max_size=60))
+def test_hostile_bytes(data):
+    for read in (coap.read_request, coap.read_answer):
+        try:
+            read(b"\x42" + data)
+        except errors.FoxtailError as exc:
+            assert exc.code == errors.Code.REQUEST_MALFORMED
+    coap.bad_request(data)
+    coap.kind_of(data)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xff\xff\xff"])
+def test_deadline_out_of_range(value):
+    msg = _request()
+    number = aiocoap.numbers.OptionNumber(int(coap.Option.DEADLINE_MS))
+    option = aiocoap.optiontypes.OpaqueOption(number, value)
+    msg.opt.add_option(option)
+    with pytest.raises(errors.FoxtailError):
+        coap.read_request(msg.encode())
