--- /dev/null
+++ b/foxtailworks/standin/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m foxtailworks.standin``."""
+
+from foxtailworks import standin
+
+standin.main()
--- /dev/null
+++ b/foxtailworks/standin/_cli.py
@@ -0,0 +1,209 @@
+"""Command line of the stand-ins."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import time
+import typing
+
+import typer
+
+from foxtailworks import ids
+from foxtailworks.standin import _announce
+from foxtailworks.standin import _fabric
+from foxtailworks.standin import _flows
+from foxtailworks.standin import _records
+from foxtailworks.standin import _requests
+from foxtailworks.standin import _upstream
+
+app = typer.Typer(
+    help="Stand-ins for fabric, upstreams and callers, for trials.",
+    no_args_is_help=True,
+    add_completion=False,
+)
+
+Addresses = typing.Annotated[list[str], typer.Option(help="ip:port")]
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+def _parse(texts: list[str]) -> tuple[ids.Address, ...]:
+    """Return addresses as values."""
+    return tuple(ids.Address.parse(text) for text in texts)
+
+
+async def _until_signal(*signals: signal.Signals) -> None:
+    """Wait for one of ``signals``."""
+    event = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for item in signals:
+        loop.add_signal_handler(item, event.set)
+    await event.wait()
+    for item in signals:
+        loop.remove_signal_handler(item)
+
+
+@app.command()
+def fabric(
+    inner: typing.Annotated[str, typer.Option(help="side of the entries")],
+    service: Addresses,
+    loss: typing.Annotated[float, typer.Option(min=0.0, max=0.9)] = 0.0,
+    seed: int = 1,
+) -> None:
+    """Own the services' addresses and spray packets over entry hosts."""
+
+    async def run() -> None:
+        item = _fabric.Fabric(random.Random(seed), loss)
+        await item.open(ids.Address.parse(inner), _parse(service))
+        print("event=ready", flush=True)
+        await _until_signal(signal.SIGTERM, signal.SIGINT)
+        print(f"event=stopped {item.counts}", flush=True)
+
+    asyncio.run(run())
+
+
+@app.command()
+def upstream(
+    name: str,
+    service: str,
+    customer: typing.Annotated[str, typer.Option()],
+    zone: typing.Annotated[str, typer.Option()],
+    address: typing.Annotated[str, typer.Option(help="ip:port")],
+    entry: Addresses,
+    records: typing.Annotated[pathlib.Path, typer.Option()],
+    kind: str = "request",
+    slots: int = 3,
+    service_ms: float = 2.0,
+    body_bytes: int = 0,
+    lifetime: int = 6,
+) -> None:
+    """Serve requests or flows; SIGUSR1 drains, SIGTERM leaves."""
+    at = ids.Address.parse(address)
+    plan = _upstream.UpstreamPlan(
+        name=name,
+        service=service,
+        address=at,
+        slots=slots,
+        service_ms=service_ms,
+        body_bytes=body_bytes,
+    )
+    registration = _announce.Registration(
+        name=name,
+        customer=customer,
+        service=service,
+        zone=zone,
+        address=at,
+        slots=slots,
+        incarnation=time.time_ns() // 1000,
+        lifetime_s=lifetime,
+    )
+    asyncio.run(_upstream_main(plan, registration, kind, entry, records))
+
+
+async def _upstream_main(
+    plan: _upstream.UpstreamPlan,
+    registration: _announce.Registration,
+    kind: str,
+    entry: list[str],
+    records: pathlib.Path,
+) -> None:
+    """Serve, announce, drain, leave."""
+    loop = asyncio.get_running_loop()
+    rng = random.Random(plan.name)
+    with _records.writing(records) as write:
+
+        def make() -> typing.Any:
+            if kind == "flow":
+                return _upstream.FlowUpstream(plan)
+            return _upstream.RequestUpstream(plan, write)
+
+        at = (plan.address.ip, plan.address.port)
+        _, server = await loop.create_datagram_endpoint(make, local_addr=at)
+        _, announcer = await loop.create_datagram_endpoint(
+            lambda: _announce.Announcer(
+                registration, _parse(entry), lambda: server.load, rng
+            ),
+            local_addr=(plan.address.ip, 0),
+        )
+        task = asyncio.ensure_future(announcer.run())
+
+        def drain() -> None:
+            announcer.state = _announce.AnnouncedState.DRAINING
+            print(f"event=draining at={time.time():.3f}", flush=True)
+            tasks.append(asyncio.ensure_future(announcer.announce()))
+
+        tasks: list[asyncio.Future[bool]] = []
+        loop.add_signal_handler(signal.SIGUSR1, drain)
+        print("event=ready", flush=True)
+        await _until_signal(signal.SIGTERM, signal.SIGINT)
+        task.cancel()
+        announcer.state = _announce.AnnouncedState.GONE
+        await announcer.announce()
+
+
+caller = typer.Typer(help="Callers of services.", no_args_is_help=True)
+app.add_typer(caller, name="caller")
+
+
+@caller.command("requests")
+def caller_requests(
+    target: typing.Annotated[str, typer.Option(help="ip:port")],
+    service: typing.Annotated[str, typer.Option()],
+    name: typing.Annotated[str, typer.Option()],
+    records: typing.Annotated[pathlib.Path, typer.Option()],
+    count: int = 100,
+    rate: float = 100.0,
+    post_share: float = 0.34,
+    duplicate_share: float = 0.2,
+    get_path: str = "list",
+    post_path: str = "checkin",
+    body_bytes: int = 0,
+    deadline_ms: int = 5000,
+    seed: int = 1,
+) -> None:
+    """Send CoAP requests with an unmodified aiocoap client."""
+    plan = _requests.RequestPlan(
+        target=ids.Address.parse(target),
+        service=service,
+        name=name,
+        count=count,
+        rate=rate,
+        post_share=post_share,
+        duplicate_share=duplicate_share,
+        get_path=get_path,
+        post_path=post_path,
+        body_bytes=body_bytes,
+        deadline_ms=deadline_ms,
+    )
+    with _records.writing(records) as write:
+        one = _requests.RequestCaller(plan, random.Random(seed), write)
+        asyncio.run(one.run())
+
+
+@caller.command("flows")
+def caller_flows(
+    target: typing.Annotated[str, typer.Option(help="ip:port")],
+    service: typing.Annotated[str, typer.Option()],
+    name: typing.Annotated[str, typer.Option()],
+    records: typing.Annotated[pathlib.Path, typer.Option()],
+    count: int = 100,
+    seconds: float = 20.0,
+    interval: float = 0.5,
+    seed: int = 1,
+) -> None:
+    """Open long flows of datagrams."""
+    plan = _flows.FlowPlan(
+        target=ids.Address.parse(target),
+        service=service,
+        name=name,
+        count=count,
+        seconds=seconds,
+        interval_s=interval,
+    )
+    with _records.writing(records) as write:
+        one = _flows.FlowCaller(plan, random.Random(seed), write)
+        asyncio.run(one.run())
--- /dev/null
+++ b/foxtailworks/standin/_flows.py
@@ -0,0 +1,129 @@
+"""A caller of flow services: many sockets, each one long flow."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import typing
+
+from foxtailworks import ids
+from foxtailworks.standin import _records
+
+SEND_AGAIN_S = 0.4
+TRIES = 6
+
+
+@dataclasses.dataclass(frozen=True)
+class FlowPlan:
+    """What a caller of flows sends."""
+
+    target: ids.Address
+    """The service's address."""
+    service: str
+    """Name of the service, for the records."""
+    name: str
+    """Prefix of flow ids."""
+    count: int
+    """Flows to open."""
+    seconds: float
+    """How long each flow lasts."""
+    interval_s: float = 0.5
+    """Mean time between two datagrams of a flow."""
+
+
+class _Flow(asyncio.DatagramProtocol):
+    """One flow: one socket."""
+
+    def __init__(self, flow: str) -> None:
+        self.flow = flow
+        self.upstreams: collections.OrderedDict[str, None]
+        self.upstreams = collections.OrderedDict()
+        self.crossed = 0
+        self._waiting: dict[str, asyncio.Future[None]] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Note who answered, and whether it belongs here."""
+        upstream, _, rest = data.decode(errors="replace").partition("|")
+        _, _, echo = rest.partition("|")
+        flow, _, sequence = echo.partition("#")
+        if flow != self.flow:
+            self.crossed += 1
+            return
+        self.upstreams[upstream] = None
+        fut = self._waiting.get(sequence)
+        if fut is not None and not fut.done():
+            fut.set_result(None)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over: the datagram is sent again."""
+
+    async def exchange(self, sequence: int) -> bool:
+        """Send one datagram until it is answered; say whether it was."""
+        name = str(sequence)
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[name] = fut
+        assert self.transport is not None
+        try:
+            for _ in range(TRIES):
+                self.transport.sendto(f"{self.flow}#{name}".encode())
+                done, _ = await asyncio.wait((fut,), timeout=SEND_AGAIN_S)
+                if done:
+                    return True
+            return False
+        finally:
+            del self._waiting[name]
+
+
+class FlowCaller:
+    """Opens a plan's flows and records what came back."""
+
+    def __init__(
+        self,
+        plan: FlowPlan,
+        rng: random.Random,
+        write: typing.Callable[[_records.FlowRecord], None],
+    ) -> None:
+        self._plan = plan
+        self._rng = rng
+        self._write = write
+
+    async def run(self) -> None:
+        """Run every flow to its end."""
+        await asyncio.gather(
+            *(self._run_one(number) for number in range(self._plan.count))
+        )
+
+    async def _run_one(self, number: int) -> None:
+        """Keep one flow going for its time, then record it."""
+        loop = asyncio.get_running_loop()
+        target = self._plan.target
+        await asyncio.sleep(self._rng.random() * self._plan.seconds / 4)
+        transport, flow = await loop.create_datagram_endpoint(
+            lambda: _Flow(f"{self._plan.name}-{number}"),
+            remote_addr=(target.ip, target.port),
+        )
+        end = loop.time() + self._plan.seconds * 3 / 4
+        sent = 0
+        answered = 0
+        while loop.time() < end:
+            sent += 1
+            answered += await flow.exchange(sent)
+            pause_s = self._rng.expovariate(1 / self._plan.interval_s)
+            await asyncio.sleep(pause_s)
+        transport.close()
+        self._write(
+            _records.FlowRecord(
+                flow=flow.flow,
+                service=self._plan.service,
+                sent=sent,
+                answered=answered,
+                upstreams=tuple(flow.upstreams),
+                crossed=flow.crossed,
+            )
+        )
