--- /dev/null
+++ b/foxtailworks/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, the soak, and the judge of runs on real processes."""
