--- a/foxtailworks/settings/_programs.py
+++ b/foxtailworks/settings/_programs.py
@@ -61,12 +61,16 @@
     """TCP, link for ``foxtailctl``."""
     fabric_address: _fields.Address
     """UDP, callers' packets from the fabric."""
+    announce_address: _fields.Address
+    """UDP, CoAP registrations of upstreams (RFC 9176)."""
     keepers: _fields.Addresses
     """Link addresses of the keepers."""
     seeds: _fields.Addresses
     """Peer addresses of other entry hosts."""
     fabric_mode: FabricMode = FabricMode.PROXY
     """``proxy``: a PROXY v2 header stands before each datagram."""
+    fabrics: _fields.Addresses = ()
+    """UDP, where this host says that it lives or withdraws."""
     statsd: _fields.Address | None = None
     """UDP, where counters are sent."""
     tls: Tls | None = None
--- a/foxtailworks/settings/tests/test_settings.py
+++ b/foxtailworks/settings/tests/test_settings.py
@@ -17,6 +17,7 @@
   host: "lima-1", zone: "lima-a", region: "lima",
   peer_address: "127.1.0.1:7100", operator_address: "127.1.0.1:7200",
   fabric_address: "127.1.0.1:7300",
+  announce_address: "127.1.0.1:7400",
   keepers: ["127.1.9.1:7400"], seeds: ["127.1.0.2:7100"],
   fabric_mode: "proxy",
   tls: {certificate: "a.pem", key: "a.key", authority: "/ca.pem"},
