Read and write upstreams' registrations in one place

Cause: stand-in and entry host would each define the same fields. Change: coap.Registration validates itself and stands once.

--- a/foxtailworks/coap/__init__.py
+++ b/foxtailworks/coap/__init__.py
@@ -17,6 +17,11 @@
 from foxtailworks.coap._message import read_request
 from foxtailworks.coap._message import Request
 from foxtailworks.coap._message import UpstreamAnswer
+from foxtailworks.coap._registration import AnnouncedState
+from foxtailworks.coap._registration import read_registration
+from foxtailworks.coap._registration import registered
+from foxtailworks.coap._registration import Registration
+from foxtailworks.coap._registration import write_registration
 from foxtailworks.coap._write import answer_from_upstream
 from foxtailworks.coap._write import bad_request
 from foxtailworks.coap._write import cancel_request
@@ -27,9 +32,11 @@
 from foxtailworks.coap._write import reset
 
 __all__ = [
+    "AnnouncedState",
     "Kind",
     "Method",
     "Option",
+    "Registration",
     "Request",
     "UpstreamAnswer",
     "answer_from_upstream",
@@ -41,6 +48,9 @@
     "not_run",
     "outcome_unknown",
     "read_answer",
+    "read_registration",
     "read_request",
+    "registered",
     "reset",
+    "write_registration",
 ]
--- a/foxtailworks/coap/tests/test_messages.py
+++ b/foxtailworks/coap/tests/test_messages.py
@@ -70,3 +70,44 @@
     msg.opt.add_option(option)
     with pytest.raises(errors.FoxtailError):
         coap.read_request(msg.encode())
+
+
+SAMPLE = coap.Registration(
+    name="desk-1",
+    customer=ids.CustomerId("balans"),
+    service=SERVICE,
+    zone=ids.ZoneId("z1"),
+    address=ids.Address("127.0.0.1", 9001),
+    slots=2,
+    incarnation=ids.Incarnation(5),
+    lifetime_s=6,
+    sequence=3,
+    state=coap.AnnouncedState.DRAINING,
+    load=0.5,
+)
+
+
+def test_registration_round_trip():
+    req = coap.read_request(coap.write_registration(SAMPLE, 4))
+    assert coap.read_registration(req) == SAMPLE
+    assert coap.read_answer(coap.registered(req)).message_id == 4
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"slots": 0}, {"load": float("nan")}, {"name": ""}, {"lifetime_s": -1}],
+)
+def test_registration_out_of_bounds(changes):
+    with pytest.raises(errors.FoxtailError):
+        SAMPLE.with_changes(**changes)
+
+
+@FIXED
+@hypothesis.given(st.lists(st.text(max_size=20), max_size=12))
+def test_hostile_registration(query):
+    msg = coap.compose(aiocoap.CON, 1, aiocoap.POST, b"")
+    msg.opt.uri_path = ("rd",)
+    msg.opt.uri_query = query
+    req = coap.read_request(msg.encode())
+    with pytest.raises(errors.FoxtailError):
+        coap.read_registration(req)
--- a/foxtailworks/standin/_announce.py
+++ b/foxtailworks/standin/_announce.py
@@ -2,13 +2,9 @@
 
 import asyncio
 import contextlib
-import dataclasses
-import enum
 import random
 import typing
 
-import aiocoap
-
 from foxtailworks import coap
 from foxtailworks import errors
 from foxtailworks import ids
@@ -18,61 +14,12 @@
 MESSAGE_IDS = 1 << 16
 
 
-class AnnouncedState(enum.Enum):
-    """What an upstream says of itself."""
-
-    READY = "ready"
-    DRAINING = "draining"
-    GONE = "gone"
-
-
-@dataclasses.dataclass(frozen=True)
-class Registration:
-    """What an upstream registers."""
-
-    name: str
-    """Endpoint name (ep)."""
-    customer: str
-    """Whom it works for."""
-    service: str
-    """What it serves."""
-    zone: str
-    """Where it stands."""
-    address: ids.Address
-    """Where it listens (base)."""
-    slots: int
-    """Requests that run at once."""
-    incarnation: int
-    """Grows with every start."""
-    lifetime_s: int = 6
-    """Until the registration ends (lt)."""
-
-    def query(
-        self, state: AnnouncedState, load: float, sequence: int
-    ) -> tuple[str, ...]:
-        """Return the Uri-Query options."""
-        lifetime = 0 if state is AnnouncedState.GONE else self.lifetime_s
-        return (
-            f"ep={self.name}",
-            f"lt={lifetime}",
-            f"base=coap://{self.address}",
-            f"customer={self.customer}",
-            f"service={self.service}",
-            f"zone={self.zone}",
-            f"slots={self.slots}",
-            f"inc={self.incarnation}",
-            f"seq={sequence}",
-            f"state={state.value}",
-            f"load={load:.2f}",
-        )
-
-
 class Announcer:
     """Registers, and renews, with one entry host after another."""
 
     def __init__(
         self,
-        registration: Registration,
+        registration: coap.Registration,
         entries: tuple[ids.Address, ...],
         load: typing.Callable[[], float],
         rng: random.Random,
@@ -84,7 +31,7 @@
         self._sequence = 0
         self._answered: asyncio.Future[None] | None = None
         self.port: udp.Port | None = None
-        self.state = AnnouncedState.READY
+        self.state = coap.AnnouncedState.READY
 
     def take(self, data: bytes, addr: ids.Address) -> None:
         """Take the entry host's confirmation."""
@@ -107,19 +54,17 @@
     async def _announce_to(self, entry: ids.Address) -> bool:
         """Tell one entry host; say whether it confirmed."""
         self._sequence += 1
-        msg = coap.compose(
-            aiocoap.CON,
-            self._sequence % MESSAGE_IDS,
-            aiocoap.POST,
-            b"",
-        )
-        msg.opt.uri_path = ("rd",)
-        msg.opt.uri_query = self._registration.query(
-            self.state, self._load(), self._sequence
+        gone = self.state is coap.AnnouncedState.GONE
+        item = self._registration.with_changes(
+            sequence=self._sequence,
+            state=self.state,
+            load=self._load(),
+            lifetime_s=0 if gone else self._registration.lifetime_s,
         )
+        data = coap.write_registration(item, self._sequence % MESSAGE_IDS)
         self._answered = asyncio.get_running_loop().create_future()
         assert self.port is not None
-        self.port.send(msg.encode(), entry)
+        self.port.send(data, entry)
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._answered, ANSWER_TIMEOUT_S)
             return True
--- a/foxtailworks/standin/_cli.py
+++ b/foxtailworks/standin/_cli.py
@@ -9,6 +9,7 @@
 
 import typer
 
+from foxtailworks import coap
 from foxtailworks import ids
 from foxtailworks.standin import _announce
 from foxtailworks.standin import _fabric
@@ -92,14 +93,14 @@
         service_ms=service_ms,
         body_bytes=body_bytes,
     )
-    registration = _announce.Registration(
+    registration = coap.Registration(
         name=name,
-        customer=customer,
-        service=service,
-        zone=zone,
+        customer=ids.CustomerId(customer),
+        service=ids.ServiceId(service),
+        zone=ids.ZoneId(zone),
         address=at,
         slots=slots,
-        incarnation=time.time_ns() // 1000,
+        incarnation=ids.Incarnation(time.time_ns() // 1000),
         lifetime_s=lifetime,
     )
     asyncio.run(_upstream_main(plan, registration, kind, entry, records))
@@ -107,7 +108,7 @@
 
 async def _upstream_main(
     plan: _upstream.UpstreamPlan,
-    registration: _announce.Registration,
+    registration: coap.Registration,
     kind: str,
     entry: list[str],
     records: pathlib.Path,
@@ -138,7 +139,7 @@
     tasks = [asyncio.ensure_future(announcer.run())]
 
     def drain() -> None:
-        announcer.state = _announce.AnnouncedState.DRAINING
+        announcer.state = coap.AnnouncedState.DRAINING
         print(f"event=draining at={time.time():.3f}", flush=True)
         tasks.pop().cancel()
         tasks.append(asyncio.ensure_future(announcer.run()))
@@ -149,7 +150,7 @@
     await _until_signal(signal.SIGTERM, signal.SIGINT)
     for task in tasks:
         task.cancel()
-    announcer.state = _announce.AnnouncedState.GONE
+    announcer.state = coap.AnnouncedState.GONE
     await announcer.announce()
 
 
