--- a/foxtailworks/coap/_write.py
+++ b/foxtailworks/coap/_write.py
@@ -62,10 +62,13 @@
 
 
 def cancel_request(
-    key: ids.RequestKey, token: bytes, message_id: int
+    key: ids.RequestKey, placement: bytes, token: bytes, message_id: int
 ) -> bytes:
-    """Ask an upstream never to start ``key``, if it has not yet."""
-    msg = compose(aiocoap.CON, message_id, aiocoap.POST, token)
+    """Ask an upstream never to start a placement, if it has not yet.
+
+    :param placement: token under which the request was placed
+    """
+    msg = compose(aiocoap.CON, message_id, aiocoap.POST, token, placement)
     msg.opt.uri_path = (CANCEL_PATH,)
     msg.opt.add_option(_opaque(_message.Option.IDEMPOTENCY_KEY, key))
     return bytes(msg.encode())
--- a/foxtailworks/standin/_upstream.py
+++ b/foxtailworks/standin/_upstream.py
@@ -112,10 +112,15 @@
         self._send(data, addr)
 
     def _cancel(self, req: coap.Request) -> aiocoap.Message:
-        """Promise never to start a key, unless it has started."""
-        if req.key in self._started:
-            return self._reply(req, aiocoap.CONFLICT, b"started")
-        self._cancelled.put(req.key, True)
+        """Promise never to start a placement, unless it has started.
+
+        The answer of one that is done comes along.
+        """
+        placement = req.raw.payload
+        if placement in self._started:
+            done = self._started[placement] or b""
+            return self._reply(req, aiocoap.CONFLICT, done)
+        self._cancelled.put(placement, True)
         return self._reply(req, aiocoap.CHANGED, b"never")
 
     def _shed(self, req: coap.Request, why: str) -> aiocoap.Message:
@@ -131,12 +136,14 @@
             limit = req.deadline_ms
             if limit is not None and waited_ms > limit:
                 return self._shed(req, "deadline passed")
-            if req.key is not None and req.key in self._cancelled:
+            if req.token in self._cancelled:
                 return self._shed(req, "cancelled")
-            self._started.put(req.key, True)
+            self._started.put(req.token, None)
             self._note(req)
             await asyncio.sleep(self._plan.service_ms / 1000)
-            return self._result(req)
+            answer = self._result(req)
+            self._started.put(req.token, answer.encode())
+            return answer
 
     def _note(self, req: coap.Request) -> None:
         """Write down that the request runs now."""
