--- a/foxtailworks/errors/_codes.py
+++ b/foxtailworks/errors/_codes.py
@@ -31,10 +31,15 @@
     VERSION_CONFLICT = 3002, "Another edit took this version first."
     EDIT_UNKNOWN = 3003, "Whether the edit was accepted isn't known."
     CONTRACT_MISSING = 3004, "There is no contract for this customer."
+    EDIT_ID_REUSED = 3005, "This edit id belongs to a different edit."
+    VERSION_MISSING = 3006, "This version is no longer kept."
     # 4000: agreement and journal
     JOURNAL_DAMAGED = 4001, "The log on disk is damaged in its middle."
     JOURNAL_UNWRITABLE = 4002, "The disk refused a write or a sync."
     NO_QUORUM = 4003, "A majority of keepers can't be reached."
+    KEEPER_BUSY = 4004, "Too much waits for a majority; try again later."
+    MEMBERSHIP_BUSY = 4005, "Another change of keepers is under way."
+    MEMBERSHIP_REFUSED = 4006, "This change of keepers isn't safe now."
     # 5000: flows and placement
     NO_UPSTREAM = 5001, "No upstream of the service can take new work."
     TABLE_FULL = 5002, "A bounded table is full."
--- /dev/null
+++ b/foxtailworks/journal/__init__.py
@@ -0,0 +1,14 @@
+"""The keeper's log on disk: checksums, syncs, snapshots, identity.
+
+Example::
+
+    disk = journal.Journal(journal.DiskFiles(folder), new_keeper)
+    disk.write([persist])
+"""
+
+from foxtailworks.journal._files import DiskFiles
+from foxtailworks.journal._files import Files
+from foxtailworks.journal._journal import Journal
+from foxtailworks.journal._memory import MemoryFiles
+
+__all__ = ["DiskFiles", "Files", "Journal", "MemoryFiles"]
--- /dev/null
+++ b/foxtailworks/journal/_files.py
@@ -0,0 +1,146 @@
+"""The few operations on files that the journal needs."""
+
+import contextlib
+import errno
+import fcntl
+import os
+import pathlib
+import typing
+
+from foxtailworks import errors
+
+_LOCK_NAME = "lock"
+
+
+class Files(typing.Protocol):
+    """A flat folder; every call may raise ``OSError``."""
+
+    def names(self) -> list[str]:
+        """Return the names of all files."""
+
+    def read(self, name: str) -> bytes:
+        """Return the whole of a file."""
+
+    def write(self, name: str, data: bytes) -> None:
+        """Create or replace a file and sync its content."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add to the end of a file, without a sync."""
+
+    def sync(self, name: str) -> None:
+        """Sync the content of a file."""
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file and sync it."""
+
+    def rename(self, old: str, new: str) -> None:
+        """Give a file another name."""
+
+    def remove(self, name: str) -> None:
+        """Delete a file."""
+
+    def sync_folder(self) -> None:
+        """Sync creations, renames and removals."""
+
+    def close(self) -> None:
+        """Let go of all open files."""
+
+
+class DiskFiles:
+    """A folder of the disk, locked for one process.
+
+    :param folder: created when it is missing
+    :raises FoxtailError: ``JOURNAL_UNWRITABLE``
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._open: dict[str, int] = {}
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self._lock = _lock(folder / _LOCK_NAME)
+        except OSError as exc:
+            raise errors.FoxtailError(
+                errors.Code.JOURNAL_UNWRITABLE,
+                "the data folder can't be locked for this process",
+                folder=folder,
+                reason=exc.strerror,
+            ) from exc
+
+    def names(self) -> list[str]:
+        """Return the names of all files."""
+        found = (item.name for item in self._folder.iterdir())
+        return sorted(name for name in found if name != _LOCK_NAME)
+
+    def read(self, name: str) -> bytes:
+        """Return the whole of a file."""
+        return (self._folder / name).read_bytes()
+
+    def write(self, name: str, data: bytes) -> None:
+        """Create or replace a file and sync its content."""
+        with open(self._folder / name, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add to the end of a file, without a sync."""
+        fd = self._descriptor(name)
+        view = memoryview(data)
+        while view:
+            view = view[os.write(fd, view) :]
+
+    def sync(self, name: str) -> None:
+        """Sync the content of a file."""
+        os.fsync(self._descriptor(name))
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file and sync it."""
+        fd = self._descriptor(name)
+        os.ftruncate(fd, size)
+        os.fsync(fd)
+
+    def rename(self, old: str, new: str) -> None:
+        """Give a file another name."""
+        os.rename(self._folder / old, self._folder / new)
+
+    def remove(self, name: str) -> None:
+        """Delete a file."""
+        fd = self._open.pop(name, None)
+        if fd is not None:
+            os.close(fd)
+        os.unlink(self._folder / name)
+
+    def sync_folder(self) -> None:
+        """Sync creations, renames and removals."""
+        fd = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+    def close(self) -> None:
+        """Let go of all open files and of the lock."""
+        for fd in self._open.values():
+            os.close(fd)
+        self._open.clear()
+        with contextlib.suppress(OSError):
+            os.close(self._lock)
+
+    def _descriptor(self, name: str) -> int:
+        """Return a descriptor that appends to a file."""
+        if name not in self._open:
+            flags = os.O_WRONLY | os.O_APPEND
+            self._open[name] = os.open(self._folder / name, flags)
+        return self._open[name]
+
+
+def _lock(path: pathlib.Path) -> int:
+    """Lock a file for this process until it ends."""
+    fd = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as exc:
+        os.close(fd)
+        raise OSError(errno.EBUSY, "another process uses it") from exc
+    return fd
