Add the membership core

Hosts of an availability zone probe one another (SWIM: probe, indirect probe, suspicion, incarnations); between zones relays pass news on, compare tables and report zones that they don't reach. Further tables are spread along with the hosts through the Replica protocol.

--- a/foxtailworks/errors/_codes.py
+++ b/foxtailworks/errors/_codes.py
@@ -44,6 +44,9 @@
     REQUEST_MALFORMED = 6003, "The request is malformed."
     # 7000: limits
     LIMIT_REACHED = 7001, "The contract's limit is reached."
+    # 8000: membership and upstreams
+    UPSTREAM_SUPERSEDED = 8001, "The address has a newer incarnation."
+    ANNOUNCEMENT_INVALID = 8002, "An announcement is out of its bounds."
 
 
 def describe(code: Code) -> str:
--- /dev/null
+++ b/foxtailworks/membership/__init__.py
@@ -0,0 +1,45 @@
+"""Which entry hosts are live, and news spread among them.
+
+Within an availability zone: probes, indirect probes, suspicion before death
+and incarnations. Between availability zones a few relays of each one pass
+news on, compare tables and watch whether the other ones are reached. Further
+tables (:class:`Replica`) are spread along with the hosts.
+
+Example::
+
+    core = membership.Membership(me, seeds, random.Random(1), now=0.0)
+    for action in core.on_tick(now=0.1):
+        ...  # a Send, or an event such as HostChanged
+"""
+
+from foxtailworks.membership._config import Config
+from foxtailworks.membership._core import Membership
+from foxtailworks.membership._events import HeldDead
+from foxtailworks.membership._events import HostChanged
+from foxtailworks.membership._events import IsolationChanged
+from foxtailworks.membership._events import Send
+from foxtailworks.membership._events import ZoneChanged
+from foxtailworks.membership._host import Host
+from foxtailworks.membership._host import HostState
+from foxtailworks.membership._hosts import inner_sends
+from foxtailworks.membership._messages import MESSAGES
+from foxtailworks.membership._replica import BucketHashes
+from foxtailworks.membership._replica import Replica
+from foxtailworks.membership._rumours import Rumours
+
+__all__ = [
+    "MESSAGES",
+    "BucketHashes",
+    "Config",
+    "HeldDead",
+    "Host",
+    "HostChanged",
+    "HostState",
+    "IsolationChanged",
+    "Membership",
+    "Replica",
+    "Rumours",
+    "Send",
+    "ZoneChanged",
+    "inner_sends",
+]
--- /dev/null
+++ b/foxtailworks/membership/_hosts.py
@@ -0,0 +1,178 @@
+"""The replicated table of hosts."""
+
+from collections import abc
+import math
+
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks.membership import _config
+from foxtailworks.membership import _events
+from foxtailworks.membership import _host
+from foxtailworks.membership import _messages
+from foxtailworks.membership import _replica
+from foxtailworks.membership import _rumours
+
+OUTER_ROUNDS = 2
+
+
+def inner_sends(hosts: int) -> int:
+    """Return how often each host passes a record on among ``hosts``."""
+    return 2 + math.ceil(math.log2(hosts + 1))
+
+
+class HostTable:
+    """What is claimed of each host; the newest claim wins."""
+
+    tags = frozenset({120})
+
+    def __init__(self, me: _host.Host, config: _config.Config) -> None:
+        self._cfg = config
+        self._zone = me.zone
+        self._hosts: dict[ids.HostId, _host.Host] = {}
+        self._items: dict[ids.HostId, bytes] = {}
+        self._ended_at: dict[ids.HostId, float] = {}
+        self._buckets: dict[int, set[ids.HostId]] = {}
+        self._by_zone: dict[ids.ZoneId, dict[ids.HostId, _host.Host]] = {}
+        self._zone_hosts = 1
+        self.rumours = _rumours.Rumours()
+        self.hashes = _replica.BucketHashes()
+        self.changed_at = 0.0
+        self.dropped = 0
+
+    def __len__(self) -> int:
+        """Return the number of records, ended ones included."""
+        return len(self._hosts)
+
+    def get(self, host_id: ids.HostId) -> _host.Host | None:
+        """Return the claim held of a host."""
+        return self._hosts.get(host_id)
+
+    def all(self) -> abc.Iterable[_host.Host]:
+        """Return every claim held."""
+        return self._hosts.values()
+
+    def zones(self) -> abc.Iterable[ids.ZoneId]:
+        """Return every availability zone heard of."""
+        return self._by_zone
+
+    def in_zone(self, zone: ids.ZoneId) -> abc.Iterable[_host.Host]:
+        """Return every claim on hosts of ``zone``."""
+        return self._by_zone.get(zone, {}).values()
+
+    def live_in(self, zone: ids.ZoneId) -> list[_host.Host]:
+        """Return the hosts of ``zone`` that are claimed to be live."""
+        return [host for host in self.in_zone(zone) if host.is_live]
+
+    def item_of(self, host_id: ids.HostId) -> bytes:
+        """Return the encoded claim on a host that the table knows."""
+        return self._items[host_id]
+
+    def ended_at(self, host_id: ids.HostId) -> float | None:
+        """Return when the host was found to have ended."""
+        return self._ended_at.get(host_id)
+
+    def set_hosts(self, count: int) -> None:
+        """Learn how many hosts of the own availability zone are live."""
+        self._zone_hosts = count
+
+    def decode(self, item: bytes) -> _host.Host:
+        """Return the claim in ``item``."""
+        host = _messages.CODEC.decode(item)
+        assert isinstance(host, _host.Host)
+        return host
+
+    def merge(
+        self, record: _host.Host, from_own_zone: bool, now: float
+    ) -> list[object]:
+        """Take a claim in if it ends the one held."""
+        old = self._hosts.get(record.id)
+        if old is not None and not record.supersedes(old):
+            return []
+        if old is None and not self._make_room():
+            self.dropped += 1
+            return []
+        self._put(old, record, now)
+        self._spread(record, from_own_zone)
+        return [_events.HostChanged(record, record.state)]
+
+    def _put(
+        self, old: _host.Host | None, new: _host.Host, now: float
+    ) -> None:
+        """Hold ``new`` in the place of ``old``."""
+        if old is not None and not new.supersedes(old):
+            raise errors.FoxtailError(
+                errors.Code.INTERNAL, "claim on a host fell back", host=new.id
+            )
+        if old is not None and old.zone != new.zone:
+            self._by_zone[old.zone].pop(new.id)
+        self._hosts[new.id] = new
+        self._by_zone.setdefault(new.zone, {})[new.id] = new
+        item = _messages.CODEC.encode(new)
+        self._items[new.id] = item
+        bucket = self.hashes.bucket_of(new.id)
+        self._buckets.setdefault(bucket, set()).add(new.id)
+        self._hash(new)
+        if new.is_live:
+            self._ended_at.pop(new.id, None)
+        else:
+            self._ended_at[new.id] = now
+        self.changed_at = now
+
+    def _hash(self, host: _host.Host) -> None:
+        """Hash a live host as alive, so that suspicion makes no difference."""
+        if not host.is_live:
+            self.hashes.set(host.id, None)
+            return
+        if host.state is _host.HostState.SUSPECT:
+            host = host.with_changes(state=_host.HostState.ALIVE)
+        self.hashes.set(host.id, _messages.CODEC.encode(host))
+
+    def _spread(self, record: _host.Host, from_own_zone: bool) -> None:
+        """Pass a claim on; doubt stays in the availability zone."""
+        is_doubt = record.state is _host.HostState.SUSPECT
+        self.rumours.put(
+            record.id,
+            self._items[record.id],
+            inner=inner_sends(self._zone_hosts),
+            outer=OUTER_ROUNDS if from_own_zone and not is_doubt else 0,
+            urgent=not record.is_live,
+        )
+
+    def respread(self, host_id: ids.HostId) -> None:
+        """Pass the claim on a host on once more."""
+        self._spread(self._hosts[host_id], from_own_zone=True)
+
+    def _make_room(self) -> bool:
+        """Forget the host that ended first when the table is full."""
+        if len(self._hosts) < self._cfg.max_hosts:
+            return True
+        if not self._ended_at:
+            return False
+        self._forget(min(self._ended_at, key=self._ended_at.__getitem__))
+        return True
+
+    def _forget(self, host_id: ids.HostId) -> None:
+        """Drop all that is held of an ended host."""
+        host = self._hosts.pop(host_id)
+        del self._items[host_id]
+        del self._ended_at[host_id]
+        self._buckets[self.hashes.bucket_of(host_id)].discard(host_id)
+        del self._by_zone[host.zone][host_id]
+        if not self._by_zone[host.zone]:
+            del self._by_zone[host.zone]
+
+    def on_tick(self, now: float) -> list[object]:
+        """Forget hosts that ended long ago."""
+        limit = now - self._cfg.tombstone_s
+        old = [key for key, at in self._ended_at.items() if at < limit]
+        for host_id in old:
+            self._forget(host_id)
+        return []
+
+    def on_event(self, event: _events.Event, now: float) -> list[object]:
+        """Need no event: the claims themselves are the state."""
+        return []
+
+    def items_of(self, bucket: int) -> list[bytes]:
+        """Return the encoded claims of ``bucket``."""
+        return [self._items[key] for key in self._buckets.get(bucket, ())]
