--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(PY) -m behave -f progress
 
 demo: .venv/.done
-	$(PY) -m foxtailworks.bench.demo
+	PY=$(PY) scripts/demo.sh
 
 soak: .venv/.done
 	$(PY) -m foxtailworks.bench.soak --seed $(SEED) --seconds $(SECONDS)
