Log events, count and keep histograms in one package

Operators need one line for each event, counters for statsd and latency histograms for each customer, service and priority class, all bounded.

A log value is quoted as JSON in ASCII when it holds a space, a quote, an equals sign or anything that isn't printable ASCII, so no value of a caller can start a second line. Counters and gauges are a closed set of names with meanings; counting costs no system call, a flush sends only growth through one statsd pipeline.

Histograms: the hot path fills plain counts at HdrHistogram's resolution (two digits, 2,560 slots), and HdrHistogram reads the percentiles. At most 256 series, the rest is recorded for the customer (other). plotext was weighed for the plot; one bar for each power of two needs no library.

--- /dev/null
+++ b/foxtailworks/observe/__init__.py
@@ -0,0 +1,41 @@
+"""Logs, counters and histograms, and what operators ask hosts for.
+
+Example::
+
+    with observe.logging_to(sys.stderr, "info"):
+        observe.Events("entry").info("flow_placed", upstream="127.0.0.1:1")
+"""
+
+from foxtailworks.observe._histograms import Bucket
+from foxtailworks.observe._histograms import Histograms
+from foxtailworks.observe._histograms import HistogramSnapshot
+from foxtailworks.observe._histograms import merge
+from foxtailworks.observe._histograms import OTHER
+from foxtailworks.observe._histograms import percentile
+from foxtailworks.observe._logs import Events
+from foxtailworks.observe._logs import format_fields
+from foxtailworks.observe._logs import logging_to
+from foxtailworks.observe._metrics import Metrics
+from foxtailworks.observe._metrics import open_metrics
+from foxtailworks.observe._names import Counter
+from foxtailworks.observe._names import describe
+from foxtailworks.observe._names import Gauge
+from foxtailworks.observe._plot import plot
+
+__all__ = [
+    "OTHER",
+    "Bucket",
+    "Counter",
+    "Events",
+    "Gauge",
+    "HistogramSnapshot",
+    "Histograms",
+    "Metrics",
+    "describe",
+    "format_fields",
+    "logging_to",
+    "merge",
+    "open_metrics",
+    "percentile",
+    "plot",
+]
--- /dev/null
+++ b/foxtailworks/observe/_plot.py
@@ -0,0 +1,63 @@
+"""Histograms as text for a terminal."""
+
+from collections import abc
+
+from foxtailworks.observe import _histograms
+
+BAR_CHARS = 40
+MAX_ROWS = 16
+_PERCENTS = (50.0, 90.0, 99.0, 99.9, 100.0)
+_EIGHTHS = " ▏▎▍▌▋▊▉█"
+
+
+def plot(snapshot: _histograms.HistogramSnapshot) -> str:
+    """Return a title, percentiles and a bar for each range of latency."""
+    title = (
+        f"{snapshot.customer} {snapshot.service} {snapshot.priority.value}:"
+        f" {snapshot.count} values"
+    )
+    if not snapshot.buckets:
+        return title
+    shown = (f"p{p:g} {_show(_at(snapshot, p))}" for p in _PERCENTS)
+    return "\n".join((title, "  " + "  ".join(shown), *_rows(snapshot)))
+
+
+def _at(snapshot: _histograms.HistogramSnapshot, percent: float) -> int:
+    """Return one percentile."""
+    return _histograms.percentile(snapshot, percent)
+
+
+def _rows(snapshot: _histograms.HistogramSnapshot) -> abc.Iterator[str]:
+    """Yield one row for each power of two between least and greatest."""
+    counts: dict[int, int] = {}
+    for bucket in snapshot.buckets:
+        power = bucket.value_us.bit_length()
+        counts[power] = counts.get(power, 0) + bucket.count
+    most = max(counts.values())
+    for power in _span(counts):
+        count = counts.get(power, 0)
+        low = _show(1 << power >> 1)
+        yield f"  {low:>8} {_bar(count / most)} {count}"
+
+
+def _span(counts: dict[int, int]) -> range:
+    """Return the rows to show; the highest ones when there are many."""
+    last = max(counts)
+    return range(max(min(counts), last - MAX_ROWS + 1), last + 1)
+
+
+def _bar(share: float) -> str:
+    """Return a bar of a fixed width."""
+    eighths = round(share * BAR_CHARS * 8)
+    whole, part = divmod(max(eighths, 1 if share else 0), 8)
+    bar = _EIGHTHS[8] * whole + (_EIGHTHS[part] if part else "")
+    return bar.ljust(BAR_CHARS)
+
+
+def _show(value_us: int) -> str:
+    """Return a latency in the unit that reads best."""
+    if value_us < 1_000:
+        return f"{value_us}us"
+    if value_us < 1_000_000:
+        return f"{value_us / 1_000:.3g}ms"
+    return f"{value_us / 1_000_000:.3g}s"
--- /dev/null
+++ b/foxtailworks/observe/tests/test_observe.py
@@ -0,0 +1,98 @@
+"""Logs stay one line, counts add up, histograms keep two digits."""
+
+import io
+import socket
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from foxtailworks import contracts
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import observe
+
+FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+HIGH = contracts.Priority.HIGH
+SERVICE = ids.ServiceId("routes")
+
+
+def logged(value, level="info"):
+    stream = io.StringIO()
+    with observe.logging_to(stream, level):
+        observe.Events("test").info("flow_placed", upstream=value, n=1)
+    return stream.getvalue()
+
+
+@FUZZ
+@hypothesis.given(st.text(max_size=600) | st.binary() | st.floats())
+def test_an_event_is_one_line_whatever_its_values(value):
+    line = logged(value)
+    assert line.endswith(" n=1\n") and len(line.splitlines()) == 1
+    assert "\n" not in line[:-1] and line.isascii()
+    assert "level=info part=test event=flow_placed upstream=" in line
+
+
+def test_plain_values_stay_readable_and_levels_hold():
+    assert "upstream=127.0.0.1:1 n=1" in logged("127.0.0.1:1")
+    assert 'upstream="a b" n=1' in logged("a b")
+    assert "upstream=high n=1" in logged(HIGH)
+    assert logged("a", level="warning") == ""
+
+
+def test_metrics_send_only_growth():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.settimeout(5)
+        address = ids.Address(*sock.getsockname())
+        with observe.open_metrics(address, "foxtail.entry.a") as metrics:
+            metrics.count(observe.Counter.PACKETS_SENT, 3)
+            metrics.gauge(observe.Gauge.HOSTS_LIVE, 7)
+            metrics.flush()
+            lines = sock.recv(512).decode().splitlines()
+            metrics.count(observe.Counter.PACKETS_SENT)
+        again = sock.recv(512).decode().splitlines()
+    assert "foxtail.entry.a.packets.sent:3|c" in lines
+    assert "foxtail.entry.a.hosts.live:7|g" in lines
+    assert "foxtail.entry.a.packets.sent:1|c" in again
+    assert metrics.totals() == {"packets.sent": 4}
+
+
+@FUZZ
+@hypothesis.given(
+    st.lists(st.integers(-5, 80_000_000), min_size=1),
+    st.lists(st.integers(0, 3_000), min_size=1),
+)
+def test_merged_histograms_keep_count_and_two_digits(one, two):
+    parts = []
+    for values in (one, two):
+        histograms = observe.Histograms()
+        for value in values:
+            histograms.record(ids.CustomerId("h"), SERVICE, HIGH, value)
+        parts.extend(histograms.snapshots())
+    (merged,) = observe.merge(parts)
+    values = sorted(min(max(v, 0), 60_000_000) for v in one + two)
+    assert merged.count == len(values)
+    top = observe.percentile(merged, 100)
+    assert abs(top - values[-1]) <= 0.01 * values[-1]
+    assert f"{len(values)} values" in observe.plot(merged)
+
+
+def test_the_number_of_series_is_bounded():
+    histograms = observe.Histograms(limit=3)
+    for n in range(10):
+        histograms.record(ids.CustomerId(f"c{n}"), SERVICE, HIGH, 5)
+    counts = {s.customer: s.count for s in histograms.snapshots()}
+    assert counts == {"c0": 1, "c1": 1, "c2": 1, observe.OTHER: 7}
+
+
+@pytest.mark.parametrize(
+    "bucket", [(-1, 1), (1, 0), (1 << 40, 1), (1, 1 << 60)]
+)
+def test_hostile_snapshots_are_refused(bucket):
+    hostile = observe.HistogramSnapshot(
+        ids.CustomerId("h"), SERVICE, HIGH, (observe.Bucket(*bucket),)
+    )
+    with pytest.raises(errors.FoxtailError) as info:
+        observe.merge([hostile])
+    assert info.value.code is errors.Code.MESSAGE_MALFORMED
