Link processes by websockets with CBOR and mutual TLS

Keepers, entry hosts and operators need one kind of link that ends with a numbered error whatever the other side sends. serve and dial are context managers; a Link sends, receives and asks. A message is at most 1 MiB, 64 are queued, 1,024 links are taken; malformed input is counted, closes the link with 1008 and leaves the others alone.

A request without an answer in time drops its link: the alternative, an envelope with a correlation id on each message, is left to the streams that need it.

The loop drops failed handshakes silently, so the session class reports them: counted and logged as LINK_REFUSED. The dialling side sees only an end of the handshake and says both possible causes.

--- /dev/null
+++ b/foxtailworks/links/_dial.py
@@ -0,0 +1,89 @@
+"""The side that opens a link."""
+
+from collections import abc
+import contextlib
+import ssl
+
+from websockets.asyncio import client
+from websockets import exceptions
+
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks.links import _link
+from foxtailworks.links import _quiet
+from foxtailworks.links import _tls
+from foxtailworks import observe
+from foxtailworks import settings
+from foxtailworks import wire
+
+DEFAULT_TIMEOUT_S = 5.0
+
+
+@contextlib.asynccontextmanager
+async def dial(
+    address: ids.Address,
+    codec: wire.Codec,
+    tls: settings.Tls | None = None,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+    metrics: observe.Metrics | None = None,
+) -> abc.AsyncIterator[_link.Link]:
+    """Open a link to ``address`` and close it at the end.
+
+    :param timeout_s: how long to wait for the link, in seconds
+    :raises FoxtailError: ``LINK_REFUSED``, ``LINK_LOST``
+    """
+    conn = await _connect(address, tls, timeout_s)
+    link = _link.Link(conn, codec, metrics or observe.Metrics())
+    try:
+        yield link
+    finally:
+        await link.close()
+
+
+async def _connect(
+    address: ids.Address, tls: settings.Tls | None, timeout_s: float
+) -> client.ClientConnection:
+    """Return an open websocket, or raise a numbered error."""
+    context = _tls.client_context(tls) if tls else None
+    scheme = "wss" if tls else "ws"
+    try:
+        return await client.connect(
+            f"{scheme}://{address}",
+            ssl=context,
+            proxy=None,
+            compression=None,
+            open_timeout=timeout_s,
+            ping_interval=_link.PING_INTERVAL_S,
+            ping_timeout=_link.PING_INTERVAL_S,
+            close_timeout=_link.CLOSE_TIMEOUT_S,
+            max_size=_link.MAX_MESSAGE_BYTES,
+            max_queue=_link.MAX_QUEUED_MESSAGES,
+            logger=_quiet.logger(lambda: None),
+        )
+    except (exceptions.InvalidHandshake, ssl.SSLError) as exc:
+        raise _refused(address, exc) from exc
+    except (OSError, EOFError) as exc:
+        if tls and isinstance(exc, ConnectionResetError):
+            raise _refused(address, exc) from exc
+        raise errors.FoxtailError(
+            errors.Code.LINK_LOST,
+            "the address can't be reached",
+            address=address,
+            reason=str(exc) or type(exc).__name__,
+        ) from exc
+
+
+def _refused(address: ids.Address, exc: Exception) -> errors.FoxtailError:
+    """Return why the other side is not linked with."""
+    if isinstance(exc, ssl.SSLCertVerificationError):
+        detail = "the other side's certificate isn't trusted"
+    elif isinstance(exc, exceptions.InvalidStatus):
+        detail = "the other side takes no more links"
+    else:
+        detail = (
+            "the other side ended the handshake: it doesn't accept this"
+            " side's certificate, or only one side uses TLS"
+        )
+    return errors.FoxtailError(
+        errors.Code.LINK_REFUSED, detail, address=address, reason=exc
+    )
--- /dev/null
+++ b/foxtailworks/links/_link.py
@@ -0,0 +1,149 @@
+"""One open link."""
+
+import asyncio
+from collections import abc
+import typing
+
+from websockets.asyncio import connection
+from websockets import exceptions
+
+from foxtailworks import errors
+from foxtailworks import observe
+from foxtailworks import wire
+
+MAX_MESSAGE_BYTES = 1 << 20
+MAX_QUEUED_MESSAGES = 64
+PING_INTERVAL_S = 10.0
+CLOSE_TIMEOUT_S = 2.0
+
+# Close codes of RFC 6455.
+_POLICY_VIOLATION = 1008
+_TOO_BIG = 1009
+
+
+class Link:
+    """Sends and receives typed messages over one websocket.
+
+    :param conn: the open websocket
+    :param codec: the messages of this kind of link
+    :param metrics: counts what is malformed
+    """
+
+    def __init__(
+        self,
+        conn: connection.Connection,
+        codec: wire.Codec,
+        metrics: observe.Metrics,
+    ) -> None:
+        self._conn = conn
+        self._codec = codec
+        self._metrics = metrics
+        self._turn = asyncio.Lock()
+        self.peer = str(conn.remote_address)
+        """Where the other side sends from."""
+
+    async def send(self, msg: object) -> None:
+        """Send ``msg``; waits while the other side doesn't read.
+
+        :raises FoxtailError: ``LINK_LOST``, ``MESSAGE_TOO_LARGE``
+        """
+        data = self._codec.encode(msg)
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise errors.FoxtailError(
+                errors.Code.MESSAGE_TOO_LARGE,
+                "message over the limit of a link",
+                size=len(data),
+                limit=MAX_MESSAGE_BYTES,
+            )
+        try:
+            await self._conn.send(data)
+        except exceptions.ConnectionClosed as exc:
+            raise self._lost(exc) from exc
+
+    async def recv(self) -> typing.Any:
+        """Return the next message.
+
+        :raises FoxtailError: ``LINK_LOST``; ``MESSAGE_MALFORMED`` and
+            ``MESSAGE_TOO_LARGE`` also close the link
+        """
+        try:
+            data = await self._conn.recv()
+        except exceptions.ConnectionClosed as exc:
+            raise self._lost(exc) from exc
+        try:
+            return self._codec.decode(_binary(data))
+        except errors.FoxtailError as exc:
+            self._metrics.count(observe.Counter.LINKS_MALFORMED)
+            await self._conn.close(_POLICY_VIOLATION, f"{exc.code.value}")
+            raise
+
+    async def __aiter__(self) -> abc.AsyncIterator[typing.Any]:
+        """Yield messages until the link ends."""
+        while True:
+            try:
+                msg = await self.recv()
+            except errors.FoxtailError as exc:
+                if exc.code is errors.Code.LINK_LOST:
+                    return
+                raise
+            yield msg
+
+    async def request(self, msg: object, timeout_s: float) -> typing.Any:
+        """Send ``msg`` and return the next message as its answer.
+
+        One request is under way at a time.  Without an answer in time the
+        link is dropped, so that a late one can't be taken for another's.
+
+        :raises FoxtailError: ``LINK_LOST`` and the errors of :meth:`recv`
+        """
+        async with self._turn:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self.send(msg)
+                    return await self.recv()
+            except BaseException as exc:
+                self.abort()
+                if isinstance(exc, TimeoutError):
+                    raise errors.FoxtailError(
+                        errors.Code.LINK_LOST,
+                        "no answer in time",
+                        peer=self.peer,
+                        timeout_s=timeout_s,
+                    ) from exc
+                raise
+
+    async def close(self) -> None:
+        """End the link; waits a bounded time for the other side."""
+        await self._conn.close()
+
+    def abort(self) -> None:
+        """End the link at once."""
+        self._conn.transport.abort()
+
+    def _lost(self, exc: exceptions.ConnectionClosed) -> errors.FoxtailError:
+        """Return why the link ended."""
+        if exc.sent and exc.sent.code == _TOO_BIG:
+            self._metrics.count(observe.Counter.LINKS_MALFORMED)
+            return errors.FoxtailError(
+                errors.Code.MESSAGE_TOO_LARGE,
+                "message over the limit of a link",
+                peer=self.peer,
+                limit=MAX_MESSAGE_BYTES,
+            )
+        closed = exc.rcvd or exc.sent
+        reason = f"{closed.code} {closed.reason}" if closed else "cut off"
+        return errors.FoxtailError(
+            errors.Code.LINK_LOST,
+            "the link ended",
+            peer=self.peer,
+            reason=reason.strip(),
+        )
+
+
+def _binary(data: str | bytes) -> bytes:
+    """Refuse a text frame."""
+    if isinstance(data, str):
+        raise errors.FoxtailError(
+            errors.Code.MESSAGE_MALFORMED, "a text frame, not CBOR"
+        )
+    return data
--- /dev/null
+++ b/foxtailworks/links/_serve.py
@@ -0,0 +1,149 @@
+"""The side that listens for links."""
+
+import asyncio
+from collections import abc
+import contextlib
+import http
+
+from websockets.asyncio import server
+from websockets import http11
+
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks.links import _link
+from foxtailworks.links import _quiet
+from foxtailworks.links import _tls
+from foxtailworks import observe
+from foxtailworks import settings
+from foxtailworks import wire
+
+MAX_LINKS = 1024
+OPEN_TIMEOUT_S = 5.0
+
+Handler = abc.Callable[[_link.Link], abc.Awaitable[None]]
+
+_EVENTS = observe.Events("links")
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    address: ids.Address,
+    codec: wire.Codec,
+    handler: Handler,
+    tls: settings.Tls | None = None,
+    metrics: observe.Metrics | None = None,
+    max_links: int = MAX_LINKS,
+) -> abc.AsyncIterator[None]:
+    """Listen on ``address`` and run ``handler`` for each link.
+
+    A handler that ends closes its link.  At the end all links are closed
+    and handlers that go on for longer than a link's closing are cancelled.
+
+    :raises FoxtailError: ``LINK_LOST`` if the address can't be listened on
+    """
+    listener = _Listener(codec, handler, metrics, max_links)
+    context = _tls.server_context(tls, listener.refuse) if tls else None
+    try:
+        running = await server.serve(
+            listener.run,
+            address.ip,
+            address.port,
+            ssl=context,
+            process_request=listener.admit,
+            compression=None,
+            open_timeout=OPEN_TIMEOUT_S,
+            ping_interval=_link.PING_INTERVAL_S,
+            ping_timeout=_link.PING_INTERVAL_S,
+            close_timeout=_link.CLOSE_TIMEOUT_S,
+            max_size=_link.MAX_MESSAGE_BYTES,
+            max_queue=_link.MAX_QUEUED_MESSAGES,
+            logger=_quiet.logger(lambda: listener.refuse("handshake")),
+        )
+    except OSError as exc:
+        raise errors.FoxtailError(
+            errors.Code.LINK_LOST,
+            "the address can't be listened on",
+            address=address,
+            reason=exc,
+        ) from exc
+    try:
+        yield
+    finally:
+        running.close()
+        await listener.finish()
+        await running.wait_closed()
+
+
+class _Listener:
+    """Runs the handler of each link and contains its failures."""
+
+    def __init__(
+        self,
+        codec: wire.Codec,
+        handler: Handler,
+        metrics: observe.Metrics | None,
+        max_links: int,
+    ) -> None:
+        self._codec = codec
+        self._handler = handler
+        self._metrics = metrics or observe.Metrics()
+        self._max_links = max_links
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def refuse(self, reason: str) -> None:
+        """Count and log a link that didn't come to be."""
+        self._metrics.count(observe.Counter.LINKS_REFUSED)
+        _EVENTS.warning(
+            "link_refused",
+            code=errors.Code.LINK_REFUSED.value,
+            reason=reason,
+        )
+
+    def admit(
+        self, conn: server.ServerConnection, _req: http11.Request
+    ) -> http11.Response | None:
+        """Refuse a link when there are too many."""
+        if len(self._tasks) < self._max_links:
+            return None
+        self.refuse("too many links")
+        return conn.respond(
+            http.HTTPStatus.SERVICE_UNAVAILABLE, "too many links\n"
+        )
+
+    async def run(self, conn: server.ServerConnection) -> None:
+        """Run the handler of one link."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self._metrics.count(observe.Counter.LINKS_ACCEPTED)
+        try:
+            await self._contain(_link.Link(conn, self._codec, self._metrics))
+        finally:
+            self._tasks.discard(task)
+
+    async def _contain(self, link: _link.Link) -> None:
+        """Log what a handler raises; one link never ends the program."""
+        try:
+            await self._handler(link)
+        except errors.FoxtailError as exc:
+            if exc.code is errors.Code.LINK_LOST:
+                self._metrics.count(observe.Counter.LINKS_LOST)
+            _EVENTS.failed("link_ended", exc)
+        except Exception as exc:
+            self._metrics.count(observe.Counter.LINKS_FAILED)
+            _EVENTS.error(
+                "link_failed",
+                code=errors.Code.INTERNAL.value,
+                peer=link.peer,
+                reason=repr(exc),
+            )
+
+    async def finish(self) -> None:
+        """Wait a bounded time for handlers, then cancel them."""
+        if not self._tasks:
+            return
+        _, late = await asyncio.wait(
+            self._tasks, timeout=_link.CLOSE_TIMEOUT_S
+        )
+        for task in late:
+            task.cancel()
