--- a/foxtailworks/observe/_histograms.py
+++ b/foxtailworks/observe/_histograms.py
@@ -76,8 +76,12 @@
         """Record one latency; one out of range counts as the nearest."""
         key = (customer, service, priority)
         counts = self._series.get(key) or self._open(key)
-        value = min(max(latency_us, 0), MAX_LATENCY_US)
-        shift = max(value.bit_length() - _KEPT_BITS, 0)
+        value = latency_us if latency_us > 0 else 0
+        if value > MAX_LATENCY_US:
+            value = MAX_LATENCY_US
+        shift = value.bit_length() - _KEPT_BITS
+        if shift < 0:
+            shift = 0
         counts[(shift << (_KEPT_BITS - 1)) + (value >> shift)] += 1
 
     def _open(self, key: _Key) -> list[int]:
