--- a/foxtailworks/coap/__init__.py
+++ b/foxtailworks/coap/__init__.py
@@ -24,6 +24,7 @@
 from foxtailworks.coap._registration import write_registration
 from foxtailworks.coap._write import answer_from_upstream
 from foxtailworks.coap._write import bad_request
+from foxtailworks.coap._write import cancel_confirmed
 from foxtailworks.coap._write import cancel_request
 from foxtailworks.coap._write import compose
 from foxtailworks.coap._write import forward_request
@@ -41,6 +42,7 @@
     "UpstreamAnswer",
     "answer_from_upstream",
     "bad_request",
+    "cancel_confirmed",
     "cancel_request",
     "compose",
     "forward_request",
--- a/foxtailworks/coap/_write.py
+++ b/foxtailworks/coap/_write.py
@@ -74,6 +74,11 @@
     return bytes(msg.encode())
 
 
+def cancel_confirmed(answer: _message.UpstreamAnswer) -> bool:
+    """Tell whether an upstream promises never to start a placement."""
+    return answer.code == int(aiocoap.CHANGED)
+
+
 def _reply(
     req: _message.Request, code: object, payload: bytes
 ) -> aiocoap.Message:
--- /dev/null
+++ b/foxtailworks/entry/_exchanges.py
@@ -0,0 +1,141 @@
+"""Messages to upstreams and the answers that belong to them."""
+
+from collections import abc
+import dataclasses
+import typing
+
+import aiocoap
+
+from foxtailworks import coap
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import observe
+from foxtailworks import udp
+
+MESSAGE_IDS = 1 << 16
+# RFC 7252 retransmits the same message: an upstream runs it once.
+FIRST_RESEND_S = 1.0
+MAX_RESENDS = 3
+MAX_EXCHANGES = 100_000
+
+# An answer and its bytes.
+TakeAnswer: typing.TypeAlias = abc.Callable[
+    [coap.UpstreamAnswer, bytes], None
+]
+
+
+@dataclasses.dataclass(slots=True)
+class _Exchange:
+    """One message that is out."""
+
+    address: ids.Address
+    data: bytes
+    message_id: int
+    take: TakeAnswer
+    until: float
+    resend_at: float
+    pause_s: float = FIRST_RESEND_S
+    resends: int = 0
+
+
+class Exchanges:
+    """Sends confirmable messages, sends them again, matches answers.
+
+    An answer counts only from the address that the message went to and
+    with the token that it carried.
+
+    :param first_message_id: where message ids start
+    """
+
+    def __init__(
+        self, first_message_id: int, metrics: observe.Metrics
+    ) -> None:
+        self._message_id = first_message_id
+        self._metrics = metrics
+        self._open: dict[bytes, _Exchange] = {}
+        self.port: udp.Port | None = None
+
+    def __len__(self) -> int:
+        """Return how many messages are out."""
+        return len(self._open)
+
+    def has_room(self) -> bool:
+        """Tell whether another message can be sent."""
+        return len(self._open) < MAX_EXCHANGES
+
+    def send(
+        self,
+        token: bytes,
+        address: ids.Address,
+        make: abc.Callable[[int], bytes],
+        take: TakeAnswer,
+        now: float,
+        lifetime_s: float,
+    ) -> None:
+        """Send a message and await its answer for ``lifetime_s``.
+
+        :param make: writes the message with the id that it is given
+        :raises FoxtailError: ``TABLE_FULL``
+        """
+        if not self.has_room():
+            raise errors.FoxtailError(
+                errors.Code.TABLE_FULL, "too many messages to upstreams"
+            )
+        self._message_id = (self._message_id + 1) % MESSAGE_IDS
+        exchange = _Exchange(
+            address=address,
+            data=make(self._message_id),
+            message_id=self._message_id,
+            take=take,
+            until=now + lifetime_s,
+            resend_at=now + FIRST_RESEND_S,
+        )
+        self._open[token] = exchange
+        self._transmit(exchange)
+
+    def _transmit(self, exchange: _Exchange) -> None:
+        """Put the message on the wire."""
+        assert self.port is not None
+        self.port.send(exchange.data, exchange.address)
+
+    def forget(self, token: bytes) -> None:
+        """Await an answer no more."""
+        self._open.pop(token, None)
+
+    def take(self, data: bytes, src: ids.Address) -> None:
+        """Take an upstream's message in."""
+        if coap.kind_of(data) is not coap.Kind.ANSWER:
+            return
+        try:
+            answer = coap.read_answer(data)
+        except errors.FoxtailError:
+            self._metrics.count(observe.Counter.PACKETS_DROPPED)
+            return
+        if answer.confirmable:
+            self._acknowledge(answer.message_id, src)
+        exchange = self._open.get(answer.token)
+        if exchange is None or exchange.address != src:
+            self._metrics.count(observe.Counter.ANSWERS_LATE)
+            return
+        del self._open[answer.token]
+        exchange.take(answer, data)
+
+    def _acknowledge(self, message_id: int, src: ids.Address) -> None:
+        """Acknowledge a separate answer."""
+        msg = coap.compose(aiocoap.ACK, message_id, aiocoap.EMPTY, b"")
+        assert self.port is not None
+        self.port.send(msg.encode(), src)
+
+    def on_tick(self, now: float) -> None:
+        """Send again what is unanswered; forget what is over."""
+        ended = []
+        for token, exchange in self._open.items():
+            if now >= exchange.until:
+                ended.append(token)
+            elif now >= exchange.resend_at and exchange.resends < MAX_RESENDS:
+                exchange.resends += 1
+                exchange.pause_s *= 2
+                exchange.resend_at = now + exchange.pause_s
+                self._transmit(exchange)
+        for token in ended:
+            del self._open[token]
--- /dev/null
+++ b/foxtailworks/entry/_keyed.py
@@ -0,0 +1,240 @@
+"""The path of requests that may not be repeated."""
+
+from collections import abc
+import dataclasses
+import functools
+import math
+
+from foxtailworks import coap
+from foxtailworks.entry import _exchanges
+from foxtailworks.entry import _peers
+from foxtailworks.entry import _replies
+from foxtailworks.entry import _services
+from foxtailworks.entry import _views
+from foxtailworks import ids
+from foxtailworks import observe
+from foxtailworks import requests
+from foxtailworks import upstreams
+
+TOKEN_BYTES = 8
+CANCEL_LIFETIME_S = 10.0
+# An answer that comes after the deadline still tells the outcome.
+LATE_ANSWER_S = 30.0
+MAX_HOPS = 3
+
+
+class KeyedPath:
+    """Feeds the coordinator and carries out its actions."""
+
+    def __init__(
+        self,
+        coordinator: requests.Coordinator,
+        views: _views.Views,
+        directory: upstreams.Directory,
+        exchanges: _exchanges.Exchanges,
+        peers: _peers.Peers,
+        replies: _replies.Replies,
+        clock: abc.Callable[[], float],
+    ) -> None:
+        self._coordinator = coordinator
+        self._views = views
+        self._directory = directory
+        self._exchanges = exchanges
+        self._peers = peers
+        self._replies = replies
+        self._clock = clock
+        self._cancels = 0
+
+    def take(self, call: _replies.Call, now: float) -> None:
+        """Take a request in, from a caller or from another host."""
+        key = call.req.request_key(call.route.key, call.packet.source)
+        host = self._coordinator.route(key)
+        if host is not None and call.packet.hops < MAX_HOPS:
+            self._pass_on(call, host)
+            return
+        arrival = requests.Arrival(
+            key=key,
+            attempt=_attempt(call),
+            service=call.route.key,
+            remaining_ms=call.remaining_ms(now),
+            handle=call,
+            retention_s=float(call.route.service.key_retention_s),
+        )
+        if self._replies.admit(call, now):
+            self.perform(self._coordinator.request(now, arrival))
+        else:
+            retry_s = self._replies.retry_after_s()
+            self.perform(self._coordinator.refuse(now, arrival, retry_s))
+
+    def on_message(self, src: ids.Address, msg: object) -> None:
+        """Take a message of another host in."""
+        host = self._views.host_at(src)
+        if host is not None:
+            now = self._clock()
+            self.perform(self._coordinator.receive(now, host, msg))
+
+    def on_tick(self, now: float) -> None:
+        """Let time pass."""
+        self.perform(self._coordinator.tick(now))
+
+    def perform(self, actions: abc.Iterable[object]) -> None:
+        """Carry out what the coordinator asks for."""
+        for action in actions:
+            self._perform(action)
+
+    @functools.singledispatchmethod
+    def _perform(self, action: object) -> None:
+        """Refuse an action of a kind that isn't known."""
+        raise TypeError(f"unknown action {type(action).__name__}")
+
+    @_perform.register
+    def _send(self, action: requests.Send) -> None:
+        """Send a message to another host."""
+        address = self._views.address_of(action.host)
+        if address is not None:
+            self._peers.send(address, action.message)
+
+    @_perform.register
+    def _place(self, action: requests.Place) -> None:
+        """Send the request to its upstream."""
+        call = action.handle
+        assert isinstance(call, _replies.Call)
+        upstream = self._directory.get(action.upstream)
+        if upstream is None or not self._exchanges.has_room():
+            self._not_placed(action)
+            return
+        now = self._clock()
+        token = _token(action.claim)
+        self._directory.on_placed(action.upstream, now)
+        self._exchanges.send(
+            token,
+            upstream.address,
+            lambda message_id: coap.forward_request(
+                call.req, token, message_id, action.remaining_ms, action.key
+            ),
+            functools.partial(self._take_answer, action, now),
+            now,
+            action.remaining_ms / 1000 + LATE_ANSWER_S,
+        )
+
+    def _not_placed(self, action: requests.Place) -> None:
+        """Tell the coordinator that nothing was sent."""
+        now = self._clock()
+        self.perform(
+            self._coordinator.shed(now, action.key, action.claim, 1.0)
+        )
+
+    def _take_answer(
+        self,
+        action: requests.Place,
+        sent_at: float,
+        answer: coap.UpstreamAnswer,
+        data: bytes,
+    ) -> None:
+        """Take the upstream's answer to a placement."""
+        now = self._clock()
+        latency_ms = (now - sent_at) * 1000
+        outcome = (
+            upstreams.Outcome.SHED
+            if answer.shed
+            else upstreams.Outcome.ANSWERED
+        )
+        self._directory.observe(action.upstream, outcome, latency_ms, now)
+        if answer.shed:
+            self.perform(
+                self._coordinator.shed(
+                    now, action.key, action.claim, answer.retry_after_s
+                )
+            )
+            return
+        self.perform(
+            self._coordinator.answered(now, action.key, action.claim, data)
+        )
+
+    @_perform.register
+    def _cancel(self, action: requests.Cancel) -> None:
+        """Ask the upstream never to start a placement."""
+        upstream = self._directory.get(action.upstream)
+        if upstream is None or not self._exchanges.has_room():
+            return
+        self._cancels += 1
+        token = b"c" + self._cancels.to_bytes(TOKEN_BYTES - 2, "big")
+        self._exchanges.send(
+            token,
+            upstream.address,
+            lambda message_id: coap.cancel_request(
+                action.key, _token(action.claim), token, message_id
+            ),
+            functools.partial(self._take_cancelled, action),
+            self._clock(),
+            CANCEL_LIFETIME_S,
+        )
+
+    def _take_cancelled(
+        self,
+        action: requests.Cancel,
+        answer: coap.UpstreamAnswer,
+        data: bytes,
+    ) -> None:
+        """Take what the upstream says to a cancellation."""
+        never = coap.cancel_confirmed(answer)
+        result = (
+            requests.CancelResult.NEVER_STARTED
+            if never
+            else requests.CancelResult.STARTED
+        )
+        inner = bytes(answer.raw.payload) if not never else b""
+        self.perform(
+            self._coordinator.cancel_result(
+                self._clock(),
+                action.key,
+                action.claim,
+                result,
+                inner or None,
+            )
+        )
+
+    @_perform.register
+    def _answer(self, action: requests.Answer) -> None:
+        """Give the caller the whole answer."""
+        call = action.handle
+        assert isinstance(call, _replies.Call)
+        self._replies.answered(call, coap.read_answer(action.answer))
+
+    @_perform.register
+    def _refuse(self, action: requests.Refuse) -> None:
+        """Tell the caller that the request didn't run."""
+        assert isinstance(action.handle, _replies.Call)
+        self._replies.not_run(action.handle, math.ceil(action.retry_after_s))
+
+    @_perform.register
+    def _unknown(self, action: requests.Unknown) -> None:
+        """Tell the caller that the outcome isn't known."""
+        assert isinstance(action.handle, _replies.Call)
+        self._replies.unknown(action.handle, math.ceil(action.retry_after_s))
+
+    @_perform.register
+    def _pass_to(self, action: requests.PassTo) -> None:
+        """Pass the request on to the host that keeps its answer."""
+        assert isinstance(action.handle, _replies.Call)
+        self._pass_on(action.handle, action.host)
+
+    def _pass_on(self, call: _replies.Call, host: ids.HostId) -> None:
+        """Pass the request's datagram on."""
+        address = self._views.address_of(host)
+        if address is not None:
+            hops = call.packet.hops + 1
+            packet = dataclasses.replace(call.packet, hops=hops)
+            self._peers.relay(address, packet)
+            self._replies.count(observe.Counter.PACKETS_RELAYED)
+
+
+def _token(claim: requests.ClaimId) -> bytes:
+    """Return the token under which a placement is sent."""
+    return claim.to_bytes(TOKEN_BYTES, "big")
+
+
+def _attempt(call: _replies.Call) -> requests.AttemptId:
+    """Return what only retransmissions of the call's message share."""
+    digest = call.req.attempt_id(call.packet.source)
+    return requests.AttemptId(int.from_bytes(digest[:TOKEN_BYTES], "big"))
