Check the catalogue; messages for operators and entry hosts

Contracts are refused whole for limits that contradict (retention under a deadline, classes that overlap), methods CoAP doesn't have and paths no request can carry.

--- a/foxtailworks/contracts/_contract.py
+++ b/foxtailworks/contracts/_contract.py
@@ -12,6 +12,13 @@
 _NAME = pydantic.Field(min_length=1, max_length=64)
 _FORBID = pydantic.ConfigDict(extra="forbid")
 
+METHODS = frozenset(
+    ("GET", "POST", "PUT", "DELETE", "FETCH", "PATCH", "IPATCH")
+)
+"""CoAP methods (RFC 7252, RFC 8132)."""
+
+_MS_PER_S = 1000
+
 
 class ServiceKind(enum.Enum):
     """How the packets of a service are treated."""
@@ -56,6 +63,23 @@
     deadline_ms: int = pydantic.Field(default=5000, gt=0, le=600_000)
     """Used when a request names no deadline."""
 
+    @pydantic.field_validator("methods")
+    @classmethod
+    def _check_methods(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+        """Refuse what isn't a CoAP method."""
+        unknown = sorted(set(value) - METHODS)
+        if unknown or not value:
+            raise ValueError(f"not CoAP methods: {unknown}")
+        return value
+
+    @pydantic.field_validator("path_prefix")
+    @classmethod
+    def _check_path(cls, value: str) -> str:
+        """Refuse a path that no request can have."""
+        if not value.startswith("/"):
+            raise ValueError("a path starts with /")
+        return value
+
 
 @checked.dataclass(frozen=True, config=_FORBID)
 class Service:
@@ -90,8 +114,25 @@
         names = [item.name for item in self.classes]
         if len(set(names)) != len(names):
             raise ValueError("two classes share a name")
+        self._check_overlap()
+        self._check_retention()
         return self
 
+    def _check_overlap(self) -> None:
+        """Refuse two classes that match the same requests."""
+        pairs = [(m, c.path_prefix) for c in self.classes for m in c.methods]
+        if len(set(pairs)) != len(pairs):
+            raise ValueError("two classes match one method and path prefix")
+
+    def _check_retention(self) -> None:
+        """Refuse to forget an outcome before its request must end."""
+        longest = max((c.deadline_ms for c in self.classes), default=0)
+        if longest > self.key_retention_s * _MS_PER_S:
+            raise ValueError(
+                f"key_retention_s {self.key_retention_s} is shorter than"
+                f" a class's deadline_ms {longest}"
+            )
+
     def at(self) -> ids.Address:
         """Return the address as a value."""
         return ids.Address.parse(self.address)
--- a/foxtailworks/contracts/tests/test_contract.py
+++ b/foxtailworks/contracts/tests/test_contract.py
@@ -41,6 +41,10 @@
         ("127.0.0.1:7001", "host:7001", "IP number"),
         ('"high"', '"urgent"', "services.0.classes.0.priority"),
         ("services: [", "services: [[", "JSON"),
+        ('"POST"', '"SEND"', "services.0.classes.0.methods"),
+        ('"/book"', '"book"', "services.0.classes.0.path_prefix"),
+        ('"/book"', '"/b", deadline_ms: 600000', "key_retention_s"),
+        ('"flow"', '"flow", limits: {in_flight: 0}', "limits.in_flight"),
     ],
 )
 def test_errors_name_their_place(old, new, path):
