Place flows: owner host, computed table, exceptions told

Cause: nothing decides yet which upstream a packet of a flow goes to.

Change: placement.Placer. One owner host for each of 16,384 slots by rendezvous over the live hosts; all others relay to it, at most three times. The owner places by a table computed from the upstreams with a weight (deferred acceptance with a quota for each upstream, so shares are met to one slot in 1,024), one table for each availability zone: own upstreams first, what they can't carry spills. Flows that stand elsewhere are told to the slot's next host as packed fingerprints, acknowledged, within a budget of bytes a second; a starting host gets them from all others, a leaving one hands them over.

The zone of a slot's table doesn't follow its owner: dead hosts count for it and new hosts don't, for as long as a flow may be idle. Ruled out: the owner's zone at the moment, by which a dead owner's idle flows would be looked up in another zone's table.

--- /dev/null
+++ b/foxtailworks/placement/_exchange.py
@@ -0,0 +1,415 @@
+"""What hosts tell one another of flows that stand off the table.
+
+A host tells the heir of each slot it owns, the owner of each slot it doesn't
+own, and a host that has started all that it should know.
+"""
+
+from collections import abc
+import dataclasses
+import functools
+import itertools
+import typing
+
+from foxtailworks import ids
+from foxtailworks.placement import _flows
+from foxtailworks.placement import _handover
+from foxtailworks.placement import _hashing
+from foxtailworks.placement import _hosts
+from foxtailworks.placement import _messages
+from foxtailworks.placement import _types
+from foxtailworks.placement import _upstreams
+
+DROP_AFTER_S = 10.0
+"""Flows handed over are kept so long after the hosts changed."""
+HELLO_S = 1.0
+"""Time between two tries to greet a host."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Peer:
+    """Another entry host that told its epoch."""
+
+    epoch: int
+    started: float
+
+
+_UNMET = _Peer(0, float("-inf"))
+
+
+class Exchange:
+    """Keeps exceptions of this host at others, and theirs here.
+
+    :param me: this host
+    :param epoch: its incarnation
+    :param now: time of its start
+    """
+
+    def __init__(
+        self,
+        me: ids.HostId,
+        epoch: int,
+        now: float,
+        cfg: _types.PlacementConfig,
+        ring: _hosts.HostRing,
+        book: _upstreams.UpstreamBook,
+        table: _flows.FlowTable,
+    ) -> None:
+        self._me = me
+        self._epoch = epoch
+        self._started = now
+        self._now = now
+        self._cfg = cfg
+        self._ring = ring
+        self._book = book
+        self._table = table
+        self._idle: dict[ids.ServiceId, float] = {}
+        self._numbers = itertools.count(1)
+        self._outgoing: dict[ids.HostId, _handover.Outgoing] = {}
+        self._incoming = _handover.Incoming(cfg.max_held)
+        self._peers: dict[ids.HostId, _Peer] = {}
+        self._greeted: set[ids.HostId] = set()
+        self._hello_due = now
+        self._starting = True
+        self._scan: abc.Iterator[None] | None = None
+        self._scan_due = now
+        self._dirty = True
+        self._tokens = cfg.control_burst_bytes
+        self._turn = 0
+        self.sent_bytes = 0
+        """Control messages sent, headers included."""
+        self.ignored = 0
+        """Control messages that were late or unknown."""
+
+    # What the placer asks.
+
+    @property
+    def held(self) -> int:
+        """Exceptions of other hosts kept here."""
+        return len(self._incoming)
+
+    @property
+    def told(self) -> int:
+        """Exceptions that other hosts are told of."""
+        return sum(out.told for out in self._outgoing.values())
+
+    def lookup(self, key: int) -> ids.UpstreamId | None:
+        """Return where another host said that a flow stands."""
+        return self._incoming.lookup(_hashing.fingerprint(key))
+
+    def whom_to_ask(
+        self, route: _hosts.Route, now: float
+    ) -> ids.HostId | None:
+        """Return the host that may know a flow that this owner doesn't."""
+        if self._starting:
+            host = route.heir
+        elif now >= self._ring.changed_at + self._cfg.ask_s:
+            return None
+        elif route.prior and self._ring.is_present(route.prior):
+            host = route.prior
+        else:
+            host = route.returned
+        if host is None or not self._ring.is_present(host):
+            return None
+        goal = self._incoming.goal_of(host)
+        if goal is not None and goal.hosts == self._ring.view_hash:
+            return None
+        peer = self._peers.get(host, _UNMET)
+        return host if now - peer.started > self._cfg.ask_s else None
+
+    def base_view(self, route: _hosts.Route) -> int:
+        """Return the set of upstreams by which a dead owner placed."""
+        if route.prior is None or self._ring.is_present(route.prior):
+            return self._book.view_hash
+        goal = self._incoming.goal_of(route.prior)
+        if goal is None or not self._book.knows_view(goal.upstreams):
+            return self._book.view_hash
+        return goal.upstreams
+
+    def note_placed(
+        self, key: int, upstream: _upstreams.Upstream, route: _hosts.Route
+    ) -> None:
+        """Have the next host told of a flow if it stands off the table."""
+        target = self._table.target(route)
+        if target is None:
+            return
+        if self._table.is_exception(key, upstream, route):
+            mark = _hashing.fingerprint(key)
+            self._out(target).add(mark, upstream.view.upstream)
+
+    def is_whole(self) -> bool:
+        """Return whether every other host knows what it should."""
+        if self._dirty or self._scan is not None:
+            return False
+        return all(self._is_told(host) for host in self._ring.peers())
+
+    # Changes.
+
+    def set_idle_times(
+        self, idle_s: typing.Mapping[ids.ServiceId, float]
+    ) -> None:
+        """Take in the idle time of each service's flows."""
+        self._idle = dict(idle_s)
+
+    def tables_changed(self) -> None:
+        """Look through all flows for new exceptions."""
+        self._dirty = True
+
+    def hosts_changed(self) -> None:
+        """Forget what was told to hosts that are gone."""
+        self._dirty = True
+        self._greeted.intersection_update(self._ring.peers())
+        gone = [h for h in self._outgoing if not self._ring.is_present(h)]
+        for host in gone:
+            del self._outgoing[host]
+        gone = [h for h in self._peers if not self._ring.is_known(h)]
+        for host in gone:
+            del self._peers[host]
+
+    def _out(self, host: ids.HostId) -> _handover.Outgoing:
+        """Return what is being told to ``host``."""
+        out = self._outgoing.get(host)
+        if out is None:
+            out = _handover.Outgoing(self._epoch, self._numbers)
+            out.to_epoch = self._peers.get(host, _UNMET).epoch
+            self._outgoing[host] = out
+        return out
+
+    # Time.
+
+    def tick(self, now: float) -> abc.Iterator[_types.Send]:
+        """Yield the control messages that the budget allows now."""
+        budget = self._cfg.control_bytes_per_s * (now - self._now)
+        self._tokens = min(
+            self._tokens + budget, self._cfg.control_burst_bytes
+        )
+        self._now = now
+        if self._ring.tick(now):
+            self._dirty = True
+        self._check_start(now)
+        self._run_scan(now)
+        yield from self._greet(now)
+        yield from self._flush(now)
+
+    def _check_start(self, now: float) -> None:
+        """End the start when its time is over or all other hosts told."""
+        if not self._starting:
+            return
+        peers = self._ring.peers()
+        goals = [self._incoming.goal_of(host) for host in peers]
+        told = all(g and g.hosts == self._ring.view_hash for g in goals)
+        if now < self._started + self._cfg.ask_s and not (peers and told):
+            return
+        self._starting = False
+        self._ring.end_start(now)
+        self._dirty = True
+
+    def _greet(self, now: float) -> abc.Iterator[_types.Send]:
+        """Tell the other hosts who this one is."""
+        if now < self._hello_due:
+            return
+        self._hello_due = now + HELLO_S
+        for host in self._ring.peers():
+            if host not in self._greeted and self._tokens > 0:
+                yield self._hello(host, now)
+
+    def _hello(self, host: ids.HostId, now: float) -> _types.Send:
+        """Tell ``host`` the epoch of this one."""
+        age_s = now - self._started
+        return self._send(host, _messages.Resend(self._epoch, age_s))
+
+    def _flush(self, now: float) -> abc.Iterator[_types.Send]:
+        """Yield digests, each host in turn."""
+        hosts = [
+            host
+            for host, out in self._outgoing.items()
+            if not out.is_done and out.to_epoch
+        ]
+        if not hosts:
+            return
+        self._turn += 1
+        shift = self._turn % len(hosts)
+        notices = self._ring.notices(now)
+        may_finish = not self._starting
+        for host in hosts[shift:] + hosts[:shift]:
+            out = self._outgoing[host]
+            for msg in out.messages(now, notices, may_finish):
+                yield self._send(host, msg)
+                if self._tokens <= 0:
+                    return
+
+    def _send(
+        self, host: ids.HostId, message: _messages.Message
+    ) -> _types.Send:
+        """Charge the budget for one message."""
+        size = _messages.size_of(message)
+        self._tokens -= size
+        self.sent_bytes += size
+        return _types.Send(host, message)
+
+    # The walk over all flows.
+
+    def _run_scan(self, now: float) -> None:
+        """Go on with the walk over all flows, or begin the next."""
+        if self._scan is None and (self._dirty or now >= self._scan_due):
+            self._dirty = False
+            self._scan_due = now + self._cfg.refresh_s
+            self._scan = self._walk()
+        if self._scan is not None:
+            self._scan = None if next(self._scan, self) else self._scan
+
+    def _walk(self) -> abc.Iterator[None]:
+        """Drop ended flows and gather the exceptions of all others."""
+        wanted: dict[ids.HostId, _handover.Marks] = {}
+        goal = self._goal()
+        peers = self._ring.peers()
+        self._incoming.sweep(peers, self._ring.settle_s, self._now)
+        self._gather_held(wanted)
+        keys = list(self._table.flows)
+        for start in range(0, len(keys), self._cfg.scan_per_tick):
+            for key in keys[start : start + self._cfg.scan_per_tick]:
+                self._visit(key, wanted)
+            yield
+        for host in self._ring.peers():
+            self._out(host).set_all(wanted.get(host, {}), goal)
+
+    def _gather_held(self, wanted: dict[ids.HostId, _handover.Marks]) -> None:
+        """Pass on what dead or restarted hosts had told."""
+        for mark, upstream, origin in self._incoming.items():
+            route = self._ring.route(_hashing.slot_of_fingerprint(mark))
+            target = self._table.target(route)
+            if target is None or (target == origin and not self._asks(origin)):
+                continue
+            wanted.setdefault(target, {})[mark] = upstream
+
+    def _asks(self, host: ids.HostId) -> bool:
+        """Return whether ``host`` has started of late."""
+        peer = self._peers.get(host, _UNMET)
+        return self._now - peer.started <= self._ring.settle_s
+
+    def _visit(
+        self, key: int, wanted: dict[ids.HostId, _handover.Marks]
+    ) -> None:
+        """Look at one flow during a walk."""
+        flows = self._table.flows
+        flow = flows.get(key)
+        if flow is None:
+            return
+        route = self._ring.route(_hashing.host_slot(key))
+        if self._is_over(flow) or self._is_handed_over(route.owner):
+            del flows[key]
+            return
+        target = self._table.target(route)
+        if target is None:
+            return
+        if self._table.is_exception(key, flow.upstream, route):
+            mark = _hashing.fingerprint(key)
+            upstream = flow.upstream.view.upstream
+            wanted.setdefault(target, {})[mark] = upstream
+
+    def _is_over(self, flow: _flows.Flow) -> bool:
+        """Return whether a flow had no packet for its idle time."""
+        service = flow.upstream.view.service
+        idle_s = self._idle.get(service, self._cfg.flow_idle_s)
+        return self._now - flow.seen > idle_s
+
+    def _is_handed_over(self, owner: ids.HostId | None) -> bool:
+        """Return whether another owner knows all that this host knows."""
+        if owner is None or owner == self._me:
+            return False
+        if self._now - self._ring.changed_at < DROP_AFTER_S:
+            return False
+        return self._is_told(owner)
+
+    def _is_told(self, host: ids.HostId) -> bool:
+        """Return whether ``host`` acknowledged what it should know."""
+        out = self._outgoing.get(host)
+        if out is None:
+            return False
+        return out.is_done and out.reached == self._goal()
+
+    def _goal(self) -> _handover.Goal:
+        """Return the views that exceptions refer to now."""
+        return _handover.Goal(self._ring.view_hash, self._book.view_hash)
+
+    # Messages.
+
+    def on_message(
+        self, origin: ids.HostId, message: typing.Any, now: float
+    ) -> tuple[_types.Send, ...]:
+        """Take in a control message of another entry host."""
+        return tuple(self._handle(message, origin, now))
+
+    @functools.singledispatchmethod
+    def _handle(
+        self, message: typing.Any, origin: ids.HostId, now: float
+    ) -> abc.Iterator[_types.Send]:
+        """Count what isn't a control message of placement."""
+        self.ignored += 1
+        return iter(())
+
+    @_handle.register
+    def _on_digest(
+        self, message: _messages.Digest, origin: ids.HostId, now: float
+    ) -> abc.Iterator[_types.Send]:
+        """Keep another host's exceptions."""
+        if message.to_epoch != self._epoch:
+            yield self._hello(origin, now)
+            return
+        if self._incoming.take_digest(origin, message):
+            yield self._ack(origin, message.epoch, message.seq)
+
+    @_handle.register
+    def _on_synced(
+        self, message: _messages.Synced, origin: ids.HostId, now: float
+    ) -> abc.Iterator[_types.Send]:
+        """Note that another host told all."""
+        if message.to_epoch != self._epoch:
+            yield self._hello(origin, now)
+            return
+        if not self._incoming.take_synced(origin, message):
+            return
+        if self._starting:
+            self._ring.adopt(message.absent, message.fresh, now)
+        yield self._ack(origin, message.epoch, message.seq)
+
+    def _ack(self, origin: ids.HostId, epoch: int, seq: int) -> _types.Send:
+        """Acknowledge a message, which shows that its sender is met."""
+        self._greeted.add(origin)
+        return self._send(origin, _messages.DigestAck(epoch, (seq,)))
+
+    @_handle.register
+    def _on_ack(
+        self, message: _messages.DigestAck, origin: ids.HostId, now: float
+    ) -> abc.Iterator[_types.Send]:
+        """Note what arrived at another host."""
+        if message.epoch != self._epoch:
+            self.ignored += 1
+        elif not message.seqs:
+            self._greeted.add(origin)
+        elif origin in self._outgoing:
+            self._outgoing[origin].acknowledge(message.seqs)
+        return iter(())
+
+    @_handle.register
+    def _on_resend(
+        self, message: _messages.Resend, origin: ids.HostId, now: float
+    ) -> abc.Iterator[_types.Send]:
+        """Send a host that has started all that it should know."""
+        known = self._peers.get(origin, _UNMET).epoch
+        if message.epoch < known or not self._ring.is_present(origin):
+            self.ignored += 1
+            return
+        if message.epoch > known:
+            self._meet(origin, _Peer(message.epoch, now - message.age_s))
+        yield self._send(origin, _messages.DigestAck(message.epoch, ()))
+
+    def _meet(self, origin: ids.HostId, peer: _Peer) -> None:
+        """Begin anew with a host that has started."""
+        self._peers[origin] = peer
+        self._greeted.discard(origin)
+        self._hello_due = self._now
+        self._ring.restarted(origin)
+        out = self._out(origin)
+        out.to_epoch = peer.epoch
+        out.restart()
+        self._dirty = True
--- /dev/null
+++ b/foxtailworks/placement/_flows.py
@@ -0,0 +1,70 @@
+"""The open flows of one host, and where the computed table has them."""
+
+import dataclasses
+
+from foxtailworks import ids
+from foxtailworks.placement import _hashing
+from foxtailworks.placement import _hosts
+from foxtailworks.placement import _upstreams
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Flow:
+    """One open flow."""
+
+    upstream: _upstreams.Upstream
+    """Where it stands."""
+    seen: float
+    """When its last packet came."""
+
+
+class FlowTable:
+    """Flows by key, next to what the computed table says of them.
+
+    :param me: this host
+    :param ring: who owns which slot
+    :param book: the upstreams
+    """
+
+    def __init__(
+        self,
+        me: ids.HostId,
+        ring: _hosts.HostRing,
+        book: _upstreams.UpstreamBook,
+    ) -> None:
+        self._me = me
+        self._ring = ring
+        self._book = book
+        self.flows: dict[int, Flow] = {}
+        """Key -> flow."""
+
+    def base(
+        self,
+        view_hash: int,
+        service: ids.ServiceId,
+        key: int,
+        route: _hosts.Route,
+    ) -> ids.UpstreamId | None:
+        """Return the upstream that the table names for a flow.
+
+        :param view_hash: the set of upstreams that the table is made of
+        """
+        return self._book.base(
+            view_hash,
+            service,
+            self._ring.shares,
+            route.zone,
+            _hashing.table_slot(key),
+        )
+
+    def is_exception(
+        self, key: int, upstream: _upstreams.Upstream, route: _hosts.Route
+    ) -> bool:
+        """Return whether a flow stands elsewhere than the table says."""
+        view = upstream.view
+        base = self.base(self._book.view_hash, view.service, key, route)
+        return base != view.upstream
+
+    def target(self, route: _hosts.Route) -> ids.HostId | None:
+        """Return the host that should know this host's exceptions."""
+        return route.heir if route.owner == self._me else route.owner
--- /dev/null
+++ b/foxtailworks/placement/_hashing.py
@@ -0,0 +1,68 @@
+"""Hashes that every host computes alike."""
+
+import math
+
+import xxhash
+
+from foxtailworks import ids
+
+HOST_SLOT_BITS = 14
+"""Flows are grouped into this many bits of slots, each with one owner."""
+TABLE_SLOT_BITS = 10
+"""Slots of the computed table of one service."""
+FINGERPRINT_BITS = 28
+"""Upper bits of a flow's key that stand in a digest; begin with its slot."""
+
+HOST_SLOTS = 1 << HOST_SLOT_BITS
+TABLE_SLOTS = 1 << TABLE_SLOT_BITS
+
+_HOST_SHIFT = 64 - HOST_SLOT_BITS
+_FINGERPRINT_SHIFT = 64 - FINGERPRINT_BITS
+_SLOT_OF_FINGERPRINT_SHIFT = FINGERPRINT_BITS - HOST_SLOT_BITS
+_TABLE_MASK = TABLE_SLOTS - 1
+
+_SCALE = 2.0**-64
+
+
+def flow_key(service: ids.ServiceId, caller: ids.Address) -> int:
+    """Return the 64-bit key of a flow."""
+    text = f"{service} {caller.ip} {caller.port}"
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def host_slot(key: int) -> int:
+    """Return the slot that decides the owner of a flow."""
+    return key >> _HOST_SHIFT
+
+
+def table_slot(key: int) -> int:
+    """Return the slot in the computed table of a flow's service."""
+    return key & _TABLE_MASK
+
+
+def fingerprint(key: int) -> int:
+    """Return the short form of a key that digests carry."""
+    return key >> _FINGERPRINT_SHIFT
+
+
+def slot_of_fingerprint(mark: int) -> int:
+    """Return the host slot of a fingerprint."""
+    return mark >> _SLOT_OF_FINGERPRINT_SHIFT
+
+
+def seed(name: str) -> int:
+    """Return the seed that stands for a host or an upstream."""
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def score(seed_value: int, slot: int) -> int:
+    """Return the rendezvous score of a seed at a slot."""
+    return xxhash.xxh3_64_intdigest(
+        slot.to_bytes(4, "little"), seed=seed_value
+    )
+
+
+def weighted_score(seed_value: int, slot: int, weight: float) -> float:
+    """Return a score whose winner is drawn in proportion to the weight."""
+    unit = (score(seed_value, slot) + 0.5) * _SCALE
+    return -weight / math.log(unit)
--- /dev/null
+++ b/foxtailworks/placement/_placer.py
@@ -0,0 +1,291 @@
+"""Decides where each packet of a flow goes; hands over what it knows."""
+
+from collections import abc
+import dataclasses
+import typing
+
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks.placement import _exchange
+from foxtailworks.placement import _flows
+from foxtailworks.placement import _hashing
+from foxtailworks.placement import _hosts
+from foxtailworks.placement import _types
+from foxtailworks.placement import _upstreams
+
+MAX_HOPS = 3
+"""A packet relayed so often is placed where it is."""
+DRAIN_GRACE_S = 3.0
+"""A draining upstream may get new flows for so long."""
+
+
+@dataclasses.dataclass(slots=True)
+class PlacerCounts:
+    """What happened so far, for metrics."""
+
+    placed: int = 0
+    """Flows entered into the table."""
+    replaced: int = 0
+    """Flows moved because their upstream was gone."""
+    untracked: int = 0
+    """Packets placed without an entry because the table was full."""
+    refused: int = 0
+    """Packets without an upstream."""
+    relayed: int = 0
+    """Packets passed to another host."""
+
+
+class Placer:
+    """Places flows; one for each entry host.
+
+    :param me: this host
+    :param zone: its availability zone
+    :param now: time of the start
+    :param epoch: incarnation of this host, larger after every restart
+    :param cfg: limits and times
+    """
+
+    def __init__(
+        self,
+        me: ids.HostId,
+        zone: ids.ZoneId,
+        now: float,
+        epoch: ids.Incarnation,
+        cfg: _types.PlacementConfig | None = None,
+    ) -> None:
+        self._me = me
+        self._zone = zone
+        self._cfg = cfg or _types.PlacementConfig()
+        self._ring = _hosts.HostRing(me, zone, now, self._cfg.flow_idle_s)
+        self._book = _upstreams.UpstreamBook()
+        self._table = _flows.FlowTable(me, self._ring, self._book)
+        self._flows = self._table.flows
+        self._exchange = _exchange.Exchange(
+            me,
+            int(epoch),
+            now,
+            self._cfg,
+            self._ring,
+            self._book,
+            self._table,
+        )
+        self._hosts: tuple[_types.HostView, ...] = ()
+        self._leaving = False
+        self.counts = PlacerCounts()
+        """Counters."""
+
+    # Views.
+
+    def set_hosts(
+        self, hosts: tuple[_types.HostView, ...], now: float
+    ) -> None:
+        """Take in the hosts that are live or leaving, with this one."""
+        self._hosts = tuple(view for view in hosts if view.host != self._me)
+        state = _types.HostState.LIVE
+        if self._leaving:
+            state = _types.HostState.LEAVING
+        own = _types.HostView(self._me, self._zone, state)
+        if self._ring.set_hosts((*self._hosts, own), now):
+            self._exchange.hosts_changed()
+
+    def set_upstreams(
+        self, views: tuple[_types.UpstreamView, ...], now: float
+    ) -> None:
+        """Take in all upstreams that are alive.
+
+        A draining upstream has weight 0; one that sheds load keeps its
+        weight and doesn't accept new flows.
+        """
+        if self._book.set_upstreams(views, now):
+            self._exchange.tables_changed()
+
+    def set_idle_times(
+        self, idle_s: typing.Mapping[ids.ServiceId, float]
+    ) -> None:
+        """Take in the idle time of each service's flows."""
+        self._exchange.set_idle_times(idle_s)
+        longest = max(idle_s.values(), default=0.0)
+        self._ring.settle_s = max(longest, self._cfg.flow_idle_s)
+
+    # Packets.
+
+    def on_packet(
+        self,
+        service: ids.ServiceId,
+        caller: ids.Address,
+        now: float,
+        relayed_from: ids.HostId | None = None,
+        hops: int = 0,
+    ) -> _types.Decision:
+        """Decide where a packet of a caller goes.
+
+        :param relayed_from: the entry host that passed it on
+        :param hops: as in the :class:`RelayTo` of that host
+        """
+        key = _hashing.flow_key(service, caller)
+        flow = self._flows.get(key)
+        if flow is not None:
+            upstream = flow.upstream
+            if upstream.alive and upstream.view.service == service:
+                flow.seen = now
+                return upstream.decision
+        return self._decide(service, key, now, relayed_from, hops)
+
+    def on_answer(
+        self, service: ids.ServiceId, caller: ids.Address, now: float
+    ) -> None:
+        """Note a packet of the upstream to the caller."""
+        flow = self._flows.get(_hashing.flow_key(service, caller))
+        if flow is not None:
+            flow.seen = now
+
+    def _decide(
+        self,
+        service: ids.ServiceId,
+        key: int,
+        now: float,
+        relayed_from: ids.HostId | None,
+        hops: int,
+    ) -> _types.Decision:
+        """Decide for a flow that isn't in the table or lost its upstream."""
+        again = self._rebind(service, key, now)
+        if again is not None:
+            return again
+        route = self._ring.route(_hashing.host_slot(key))
+        to = route.owner
+        if to == self._me:
+            to = self._exchange.whom_to_ask(route, now)
+        if to is not None and to != relayed_from and hops < MAX_HOPS:
+            self.counts.relayed += 1
+            return _types.RelayTo(to, hops + 1)
+        return self._place(service, key, route, now)
+
+    def _rebind(
+        self, service: ids.ServiceId, key: int, now: float
+    ) -> _types.Deliver | None:
+        """Keep a flow whose upstream was held dead and is back."""
+        flow = self._flows.get(key)
+        if flow is None or flow.upstream.view.service != service:
+            return None
+        upstream = self._book.get(flow.upstream.view.upstream)
+        if upstream is None or upstream.view.service != service:
+            del self._flows[key]
+            self.counts.replaced += 1
+            return None
+        flow.upstream = upstream
+        flow.seen = now
+        return upstream.decision
+
+    def _place(
+        self,
+        service: ids.ServiceId,
+        key: int,
+        route: _hosts.Route,
+        now: float,
+    ) -> _types.Decision:
+        """Place a flow here and remember it."""
+        upstream = self._choose(service, key, route, now)
+        if upstream is None:
+            self.counts.refused += 1
+            return _types.Refuse(errors.Code.NO_UPSTREAM)
+        if not upstream.alive or upstream.view.service != service:
+            raise errors.FoxtailError(
+                errors.Code.INTERNAL, "flow placed on a wrong upstream"
+            )
+        if len(self._flows) >= self._cfg.max_flows:
+            self.counts.untracked += 1
+            return upstream.decision
+        # A key that two flows share belongs to the first of them.
+        if key not in self._flows:
+            self._flows[key] = _flows.Flow(upstream, now)
+            self.counts.placed += 1
+            self._exchange.note_placed(key, upstream, route)
+        return upstream.decision
+
+    def _choose(
+        self,
+        service: ids.ServiceId,
+        key: int,
+        route: _hosts.Route,
+        now: float,
+    ) -> _upstreams.Upstream | None:
+        """Return where a flow stands that this host doesn't know."""
+        told = self._exchange.lookup(key)
+        upstream = self._book.get(told) if told is not None else None
+        if upstream is not None and upstream.view.service == service:
+            return upstream
+        placed_by = self._exchange.base_view(route)
+        current = self._book.view_hash
+        for view_hash in dict.fromkeys((placed_by, current)):
+            base = self._table.base(view_hash, service, key, route)
+            upstream = self._book.get(base) if base is not None else None
+            if upstream is not None and self._may_stand(upstream, route, now):
+                return upstream
+        return self._book.spill(service, route.zone, key)
+
+    def _may_stand(
+        self,
+        upstream: _upstreams.Upstream,
+        route: _hosts.Route,
+        now: float,
+    ) -> bool:
+        """Return whether an unknown flow may go where the table says.
+
+        After a change of owners an unknown flow may be an old one: it may
+        stay on an upstream that sheds, or that began to drain just now.
+        """
+        view = upstream.view
+        if view.accepts_new and view.weight > 0:
+            return True
+        if route.prior is None:
+            return False
+        return view.weight > 0 or now - upstream.drained_at <= DRAIN_GRACE_S
+
+    # Leaving.
+
+    def leave(self, now: float) -> None:
+        """Begin to leave: own nothing new, hand over the exceptions."""
+        self._leaving = True
+        self.set_hosts(self._hosts, now)
+
+    @property
+    def left(self) -> bool:
+        """Whether every other host knows what it should."""
+        return self._leaving and self._exchange.is_whole()
+
+    # Control messages.
+
+    def tick(self, now: float) -> abc.Iterator[_types.Send]:
+        """Yield the control messages that the budget allows now.
+
+        To be called several times a second.
+        """
+        return self._exchange.tick(now)
+
+    def on_message(
+        self, origin: ids.HostId, message: typing.Any, now: float
+    ) -> tuple[_types.Send, ...]:
+        """Take in a control message of another entry host."""
+        return self._exchange.on_message(origin, message, now)
+
+    # Figures.
+
+    @property
+    def flows(self) -> int:
+        """Flows in the table."""
+        return len(self._flows)
+
+    @property
+    def exceptions(self) -> int:
+        """Flows that other hosts are told of."""
+        return self._exchange.told
+
+    @property
+    def held(self) -> int:
+        """Flows that other hosts told this one of."""
+        return self._exchange.held
+
+    @property
+    def control_bytes(self) -> int:
+        """Bytes of control messages sent, headers included."""
+        return self._exchange.sent_bytes
