--- /dev/null
+++ b/foxtailworks/bench/_request_world.py
@@ -0,0 +1,400 @@
+"""A model of hosts, upstreams and callers around the request cores.
+
+Time is virtual; loss, doubling, delay, cuts, freezes and deaths come from
+outside.  Each promise is checked against the upstreams' run log.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from foxtailworks import ids
+from foxtailworks import requests
+
+TICK_S = 0.05
+RUN_S = 0.02
+RETENTION_S = 60.0
+SERVICE = ids.ServiceId("check-ins")
+Event = typing.Callable[[], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One datagram of a caller and what the caller was told."""
+
+    key: ids.RequestKey
+    number: requests.AttemptId
+    sent_at: float
+    told: str = ""
+    refused_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """An entry host of the model."""
+
+    name: ids.HostId
+    zone: ids.ZoneId
+    groups: requests.KeyGroups
+    coordinator: requests.Coordinator
+    is_up: bool = True
+    frozen_until: float = 0.0
+    held: list[Event] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """A fake upstream with a log of what it ran."""
+
+    name: ids.UpstreamId
+    zone: ids.ZoneId
+    is_up: bool = True
+    is_shedding: bool = False
+    run_s: float = RUN_S
+    started: dict[requests.ClaimId, float] = dataclasses.field(
+        default_factory=dict
+    )
+    fenced: set[requests.ClaimId] = dataclasses.field(default_factory=set)
+
+
+def answer_to(key: ids.RequestKey) -> bytes:
+    """Return the one right answer to ``key``."""
+    return b"ran " + key
+
+
+def make_roster(epoch: int, zones: list[int]) -> requests.Roster:
+    """Return a roster of hosts ``h0``... in the given zones."""
+    return requests.Roster(
+        epoch,
+        tuple(
+            (ids.HostId(f"h{i}"), ids.ZoneId(f"z{zone}"))
+            for i, zone in enumerate(zones)
+        ),
+    )
+
+
+class World:
+    """Hosts, upstreams and callers under faults."""
+
+    def __init__(
+        self, seed: int, roster: requests.Roster, upstreams: int = 4
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.delay_s = 0.001
+        self.cut: frozenset[ids.ZoneId] = frozenset()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.runs: dict[ids.RequestKey, list[float]] = {}
+        self.attempts: list[Attempt] = []
+        self.refused: list[Attempt] = []
+        self.sent_bytes = 0
+        self.sent_messages = 0
+        self._codec = requests.make_codec()
+        self._serial = itertools.count(1)
+        self._events: list[tuple[float, int, Event]] = []
+        self.roster = roster
+        zones = sorted({zone for _, zone in roster.hosts})
+        self.upstreams = {
+            ids.UpstreamId(f"u{i}"): Upstream(
+                ids.UpstreamId(f"u{i}"), zones[i % len(zones)]
+            )
+            for i in range(upstreams)
+        }
+        self.hosts: dict[ids.HostId, Host] = {}
+        for name, zone in roster.hosts:
+            self.start_host(name, zone, True)
+
+    def start_host(
+        self, name: ids.HostId, zone: ids.ZoneId, fresh: bool
+    ) -> None:
+        """Start a process with no memory."""
+        groups = requests.KeyGroups(self.roster, RETENTION_S)
+        recovery = requests.Recovery(self.now, RETENTION_S, fresh)
+        store = requests.ClaimStore(name, groups, recovery)
+        incarnation = ids.Incarnation(next(self._serial))
+        rng = random.Random(self.rng.random())
+
+        def choose(
+            service: ids.ServiceId, excluded: typing.Collection[ids.UpstreamId]
+        ) -> ids.UpstreamId | None:
+            """Return any upstream that is up in this host's view."""
+            able = [
+                item.name
+                for item in self.upstreams.values()
+                if item.is_up and item.name not in excluded
+            ]
+            return rng.choice(able) if able else None
+
+        coordinator = requests.Coordinator(
+            name, incarnation, groups, store, choose, rng
+        )
+        host = Host(name, zone, groups, coordinator)
+        self.hosts[name] = host
+        self._tick(host)
+
+    def ask(
+        self,
+        key: ids.RequestKey,
+        name: ids.HostId,
+        deadline_s: float = 2.0,
+        again: Attempt | None = None,
+    ) -> Attempt:
+        """Send a caller's datagram, a new attempt or a retransmission."""
+        attempt = again
+        if attempt is None:
+            number = requests.AttemptId(next(self._serial))
+            attempt = Attempt(key, number, self.now)
+            self.attempts.append(attempt)
+        arrival = requests.Arrival(
+            key,
+            attempt.number,
+            SERVICE,
+            int(deadline_s * 1000),
+            attempt,
+            RETENTION_S,
+        )
+        self._arrive(self.hosts[name], arrival, False)
+        return attempt
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            at, _, event = heapq.heappop(self._events)
+            self.now = max(self.now, at)
+            event()
+        self.now = end
+
+    def at(self, delay_s: float, event: Event) -> None:
+        """Do ``event`` later."""
+        item = (self.now + delay_s, next(self._serial), event)
+        heapq.heappush(self._events, item)
+
+    def kill(self, name: ids.HostId) -> None:
+        """End a host at once."""
+        self.hosts[name].is_up = False
+
+    def freeze(self, name: ids.HostId, seconds: float) -> None:
+        """Stop a host where it is; it goes on afterwards."""
+        host = self.hosts[name]
+        host.frozen_until = self.now + seconds
+        self.at(seconds, lambda: self._thaw(host))
+
+    def crash_upstream(self, name: ids.UpstreamId) -> None:
+        """End an upstream; its successor is another upstream."""
+        old = self.upstreams.pop(name)
+        old.is_up = False
+        new = ids.UpstreamId(f"{name}'")
+        self.upstreams[new] = Upstream(new, old.zone)
+
+    def perform(
+        self, host: Host, actions: tuple[requests.Action, ...]
+    ) -> None:
+        """Carry out actions, as the program of a host does."""
+        for action in actions:
+            self._do(host, lambda item=action: self._act(host, item))
+
+    def counts_of_violations(self) -> dict[str, int]:
+        """Return the violations, all named."""
+        names = ("run_twice", "false_not_run", "crossed")
+        return {name: self.counts[name] for name in names}
+
+    def _act(self, host: Host, action: requests.Action) -> None:
+        """Carry out one action."""
+        match action:
+            case requests.Send():
+                self._send(host, action)
+            case requests.Place():
+                target = self.upstreams.get(action.upstream)
+                self._to_upstream(
+                    host, target, lambda: self._placed(host, target, action)
+                )
+            case requests.Cancel():
+                target = self.upstreams.get(action.upstream)
+                self._to_upstream(
+                    host, target, lambda: self._cancel(host, target, action)
+                )
+            case requests.PassTo():
+                self.counts["passed"] += 1
+            case _:
+                self._told(action)
+
+    def _send(self, host: Host, action: requests.Send) -> None:
+        """Send a message between hosts through the codec."""
+        data = self._codec.encode(action.message)
+        self.sent_bytes += len(data)
+        self.sent_messages += 1
+        target = self.hosts[action.host]
+
+        def deliver() -> None:
+            """Hand the message to whoever has the address now."""
+            to = self.hosts[action.host]
+            message = self._codec.decode(data)
+            self._event(
+                to,
+                lambda: to.coordinator.receive(self.now, host.name, message),
+            )
+
+        self._carry(host.zone, target.zone, deliver)
+
+    def _carry(
+        self, source: ids.ZoneId, target: ids.ZoneId, deliver: Event
+    ) -> None:
+        """Lose, double or delay a datagram."""
+        if (source in self.cut) != (target in self.cut):
+            return
+        copies = 2 if self.rng.random() < self.doubling else 1
+        for _ in range(copies):
+            if self.rng.random() >= self.loss:
+                spread = 0.5 + self.rng.random()
+                self.at(self.delay_s * spread, deliver)
+
+    def _arrive(
+        self, host: Host, arrival: requests.Arrival, passed: bool
+    ) -> None:
+        """Route a caller's datagram and begin it."""
+        if not host.is_up:
+            return
+        other = None if passed else host.coordinator.route(arrival.key)
+        if other is None:
+            self._event(
+                host, lambda: host.coordinator.request(self.now, arrival)
+            )
+            return
+        target = self.hosts[other]
+        self._carry(
+            host.zone, target.zone, lambda: self._arrive(target, arrival, True)
+        )
+
+    def _event(
+        self,
+        host: Host,
+        event: typing.Callable[[], tuple[requests.Action, ...]],
+    ) -> None:
+        """Let a host take in an event, now or when it goes on."""
+        self._do(host, lambda: self.perform(host, event()))
+
+    def _do(self, host: Host, step: Event) -> None:
+        """Do a step of a host unless it is down or frozen."""
+        if not host.is_up or self.hosts[host.name] is not host:
+            return
+        if self.now < host.frozen_until:
+            host.held.append(step)
+        else:
+            step()
+
+    def _thaw(self, host: Host) -> None:
+        """Go on with what was held."""
+        held, host.held = host.held, []
+        for step in held:
+            self._do(host, step)
+
+    def _tick(self, host: Host) -> None:
+        """Tick a host for as long as it lives."""
+        if not host.is_up or self.hosts[host.name] is not host:
+            return
+        self._event(host, lambda: host.coordinator.tick(self.now))
+        self.at(TICK_S, lambda: self._tick(host))
+
+    def _to_upstream(
+        self, host: Host, target: Upstream | None, deliver: Event
+    ) -> None:
+        """Send a datagram to an upstream that may be gone."""
+        if target is not None:
+            self._carry(host.zone, target.zone, deliver)
+
+    def _placed(
+        self, host: Host, target: Upstream, action: requests.Place
+    ) -> None:
+        """Run a placement unless it is fenced or shed."""
+        key, claim = action.key, action.claim
+        if not target.is_up or claim in target.started:
+            return
+        if claim in target.fenced or target.is_shedding:
+            target.fenced.add(claim)
+            self._reply(
+                host,
+                target,
+                lambda: host.coordinator.shed(self.now, key, claim),
+            )
+            return
+        target.started[claim] = self.now
+        self._ran(key)
+        self.at(
+            target.run_s,
+            lambda: self._reply(
+                host,
+                target,
+                lambda: host.coordinator.answered(
+                    self.now, key, claim, answer_to(key)
+                ),
+            ),
+        )
+
+    def _cancel(
+        self, host: Host, target: Upstream, action: requests.Cancel
+    ) -> None:
+        """Fence a placement, or say that it started."""
+        key, claim = action.key, action.claim
+        if not target.is_up:
+            return
+        started = target.started.get(claim)
+        result = requests.CancelResult.STARTED
+        answer = None
+        if started is None:
+            target.fenced.add(claim)
+            result = requests.CancelResult.NEVER_STARTED
+        elif self.now >= started + target.run_s:
+            answer = answer_to(key)
+        self._reply(
+            host,
+            target,
+            lambda: host.coordinator.cancel_result(
+                self.now, key, claim, result, answer
+            ),
+        )
+
+    def _reply(
+        self,
+        host: Host,
+        target: Upstream,
+        event: typing.Callable[[], tuple[requests.Action, ...]],
+    ) -> None:
+        """Carry an upstream's word back."""
+        if target.is_up:
+            self._carry(
+                target.zone, host.zone, lambda: self._event(host, event)
+            )
+
+    def _ran(self, key: ids.RequestKey) -> None:
+        """Log a run and judge it."""
+        runs = self.runs.setdefault(key, [])
+        runs.append(self.now)
+        self.counts["run"] += 1
+        if len(runs) > 1:
+            self.counts["run_twice"] += 1
+        newest = max(a.sent_at for a in self.attempts if a.key == key)
+        for attempt in self.refused:
+            if attempt.key == key and attempt.refused_at >= newest:
+                self.counts["false_not_run"] += 1
+
+    def _told(
+        self, action: requests.Answer | requests.Refuse | requests.Unknown
+    ) -> None:
+        """Judge what a caller is told."""
+        attempt = typing.cast(Attempt, action.handle)
+        attempt.told = type(action).__name__
+        self.counts[attempt.told] += 1
+        if isinstance(action, requests.Answer):
+            if action.answer != answer_to(attempt.key):
+                self.counts["crossed"] += 1
+        if isinstance(action, requests.Refuse):
+            if self.runs.get(attempt.key):
+                self.counts["false_not_run"] += 1
+            attempt.refused_at = self.now
+            self.refused.append(attempt)
--- /dev/null
+++ b/foxtailworks/requests/__init__.py
@@ -0,0 +1,66 @@
+"""Requests: at most one run for a key, retries for the rest.
+
+A request with a key is claimed at a majority of the key's group before it
+is placed; a request without one is retried within a budget.
+
+Example::
+
+    groups = requests.KeyGroups(roster, retention_s=300.0)
+    recovery = requests.Recovery(now, 300.0, fresh=True)
+    store = requests.ClaimStore(host, groups, recovery)
+    coordinator = requests.Coordinator(
+        host, incarnation, groups, store, choose, rng
+    )
+    for action in coordinator.request(now, arrival):
+        perform(action)
+"""
+
+from foxtailworks.requests._actions import Action
+from foxtailworks.requests._actions import Answer
+from foxtailworks.requests._actions import Arrival
+from foxtailworks.requests._actions import Cancel
+from foxtailworks.requests._actions import CancelResult
+from foxtailworks.requests._actions import PassTo
+from foxtailworks.requests._actions import Place
+from foxtailworks.requests._actions import Refuse
+from foxtailworks.requests._actions import Send
+from foxtailworks.requests._actions import Unknown
+from foxtailworks.requests._coordinator import Coordinator
+from foxtailworks.requests._entry import State
+from foxtailworks.requests._groups import choose_group
+from foxtailworks.requests._groups import Group
+from foxtailworks.requests._groups import KeyGroups
+from foxtailworks.requests._groups import Roster
+from foxtailworks.requests._messages import AttemptId
+from foxtailworks.requests._messages import ClaimId
+from foxtailworks.requests._messages import make_codec
+from foxtailworks.requests._messages import Message
+from foxtailworks.requests._messages import MESSAGES
+from foxtailworks.requests._recovery import Recovery
+from foxtailworks.requests._store import ClaimStore
+
+__all__ = [
+    "MESSAGES",
+    "Action",
+    "Answer",
+    "Arrival",
+    "AttemptId",
+    "Cancel",
+    "CancelResult",
+    "ClaimId",
+    "ClaimStore",
+    "Coordinator",
+    "Group",
+    "KeyGroups",
+    "Message",
+    "PassTo",
+    "Place",
+    "Recovery",
+    "Refuse",
+    "Roster",
+    "Send",
+    "State",
+    "Unknown",
+    "choose_group",
+    "make_codec",
+]
--- /dev/null
+++ b/foxtailworks/requests/_store.py
@@ -0,0 +1,339 @@
+"""A group member's memory: claims, outcomes and refused attempts."""
+
+import collections
+import dataclasses
+import functools
+import itertools
+
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks.requests import _fences
+from foxtailworks.requests import _groups
+from foxtailworks.requests import _messages
+from foxtailworks.requests import _recovery
+
+MAX_RECORDS = 50_000
+_Verdict = _messages.Verdict
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """What is remembered of one key."""
+
+    expires_at: float
+    bucket: int
+    """The second in which its expiry is looked at."""
+    claim: _messages.Claim | None = None
+    due_at: float = 0.0
+    outcome: _messages.Outcome | None = None
+
+
+def _placements(claim: _messages.Claim) -> set[_messages.Placement]:
+    """Return what may run on account of ``claim``."""
+    found = set(claim.unresolved)
+    if claim.upstream:
+        found.add(_messages.Placement(claim.claim, claim.upstream))
+    return found
+
+
+class ClaimStore:
+    """Grants at most one claim for each key and keeps outcomes.
+
+    A claim leaves the store only by its owner's withdrawal (the owner never
+    placed it), by one that names it as replaced and keeps its placements as
+    unresolved, by an outcome, or by its expiry.  When the store is full it
+    grants no new key.
+
+    :param host: whose memory it is
+    :param groups: the groups of keys
+    :param recovery: what a restarted member must read first
+    :param max_records: how many keys are remembered
+    """
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        groups: _groups.KeyGroups,
+        recovery: _recovery.Recovery,
+        max_records: int = MAX_RECORDS,
+    ) -> None:
+        self._host = host
+        self._groups = groups
+        self._recovery = recovery
+        self._max = max_records
+        self._records: dict[ids.RequestKey, _Record] = {}
+        self._buckets: dict[int, set[ids.RequestKey]] = {}
+        self._fences = _fences.Fences()
+        self._epoch = groups.epoch
+        self._is_closed = False
+        self.counts: collections.Counter[_Verdict] = collections.Counter()
+
+    def __len__(self) -> int:
+        """Return how many keys are remembered."""
+        return len(self._records)
+
+    @functools.singledispatchmethod
+    def receive(
+        self, message: object, now: float, sender: ids.HostId
+    ) -> _messages.Message | None:
+        """Take in a message and return the reply to its sender."""
+        raise errors.FoxtailError(
+            errors.Code.INTERNAL, "not for a store", kind=type(message)
+        )
+
+    def tick(
+        self, now: float
+    ) -> list[tuple[ids.HostId, _messages.PageRequest]]:
+        """Let expired keys go; return what to ask after a restart."""
+        for bucket in [item for item in self._buckets if item <= now]:
+            for key in self._buckets.pop(bucket):
+                self._expire(now, key)
+        self._fences.tick(now)
+        others = (h for h, _ in self._groups.roster.hosts if h != self._host)
+        return self._recovery.ask(now, others)
+
+    def hand_over(
+        self, now: float
+    ) -> list[tuple[ids.HostId, _messages.HandOver]]:
+        """Return every record for the others; grant nothing from now on."""
+        self._is_closed = True
+        handed = []
+        for key, record in self._records.items():
+            keep_ms = int((record.expires_at - now) * 1000)
+            message = _messages.HandOver(
+                key, record.claim, record.outcome, keep_ms
+            )
+            handed += [(host, message) for host in self._others(key)]
+        return handed
+
+    @receive.register
+    def _on_claim(
+        self, claim: _messages.Claim, now: float, sender: ids.HostId
+    ) -> _messages.Message:
+        """Grant a claim, or say what stands against it."""
+        record = self._records.get(claim.key)
+        verdict = self._judge_claim(now, claim, record)
+        self.counts[verdict] += 1
+        if verdict is _Verdict.GRANTED:
+            self._grant(now, claim, record)
+            return _messages.ClaimReply(claim.key, claim.claim, verdict)
+        return _messages.ClaimReply(
+            claim.key,
+            claim.claim,
+            verdict,
+            self._holder(now, record),
+            record.outcome if record else None,
+        )
+
+    @receive.register
+    def _on_withdraw(
+        self, message: _messages.Withdraw, now: float, sender: ids.HostId
+    ) -> _messages.Message | None:
+        """Let the sender's claims go; mark attempts if nothing ran."""
+        record = self._records.get(message.key)
+        if record is not None and record.claim is not None:
+            held = record.claim
+            is_proven = held.claim in message.proven
+            if held.claim in message.claims:
+                if is_proven or not held.unresolved:
+                    record.claim = None
+        if record is not None and not record.claim and not record.outcome:
+            self._drop(message.key, record)
+            record = None
+        if not message.attempts:
+            return None
+        verdict = self._judge_marks(now, message, record)
+        outcome = record.outcome if record else None
+        return _messages.WithdrawReply(
+            message.key, message.attempts, verdict, outcome
+        )
+
+    @receive.register
+    def _on_outcome(
+        self, message: _messages.RecordOutcome, now: float, sender: ids.HostId
+    ) -> _messages.Message | None:
+        """Keep an outcome; two claims of one key can't both have run."""
+        record = self._open(now, message.key, message.keep_ms)
+        if record is None:
+            return None
+        self._keep_outcome(record, message.key, message.outcome)
+        return _messages.OutcomeAck(message.key)
+
+    @receive.register
+    def _on_hand_over(
+        self, message: _messages.HandOver, now: float, sender: ids.HostId
+    ) -> None:
+        """Take over the record of a leaving member where none stands."""
+        record = self._open(now, message.key, message.keep_ms)
+        if record is None:
+            return
+        if message.outcome is not None:
+            self._keep_outcome(record, message.key, message.outcome)
+        elif message.claim and not record.claim and not record.outcome:
+            record.claim = message.claim
+            record.due_at = now + message.claim.due_ms / 1000
+
+    @receive.register
+    def _on_page_request(
+        self, message: _messages.PageRequest, now: float, sender: ids.HostId
+    ) -> _messages.Page | None:
+        """Tell a restarted member which of its keys are remembered."""
+        if not self._recovery.is_over(now):
+            return None
+        known = (
+            _recovery.fingerprint(key)
+            for key in itertools.chain(self._records, self._fences.keys())
+            if sender in self._groups.members(key)
+        )
+        return _recovery.make_page(message, known)
+
+    @receive.register
+    def _on_page(
+        self, message: _messages.Page, now: float, sender: ids.HostId
+    ) -> None:
+        """Read what another member remembers."""
+        self._recovery.read(sender, message)
+
+    def _judge_claim(
+        self, now: float, claim: _messages.Claim, record: _Record | None
+    ) -> _Verdict:
+        """Decide over a claim without changing anything."""
+        if self._is_stale(claim.epoch):
+            return _Verdict.STALE
+        if record is not None and record.outcome is not None:
+            return _Verdict.DONE
+        if record is not None and record.claim is not None:
+            return self._judge_against(claim, record.claim)
+        if self._fences.holds(claim.attempt):
+            return _Verdict.FENCED
+        if self._fences.is_quiet(now, claim.key):
+            return _Verdict.FENCED
+        if not self._vouches(now, claim.key):
+            return _Verdict.RECOVERING
+        if record is None and len(self._records) >= self._max:
+            return _Verdict.FULL
+        return _Verdict.GRANTED
+
+    def _judge_against(
+        self, claim: _messages.Claim, held: _messages.Claim
+    ) -> _Verdict:
+        """Decide over a claim while another one stands."""
+        if claim.claim == held.claim:
+            return _Verdict.GRANTED
+        if held.claim not in claim.replaces:
+            return _Verdict.HELD
+        own = (claim.claimant, claim.incarnation)
+        if own == (held.claimant, held.incarnation):
+            if held.claim in claim.proven or not held.unresolved:
+                return _Verdict.GRANTED
+        if _placements(held) <= set(claim.unresolved):
+            return _Verdict.GRANTED
+        return _Verdict.HELD
+
+    def _judge_marks(
+        self, now: float, message: _messages.Withdraw, record: _Record | None
+    ) -> _Verdict:
+        """Mark attempts if this member can vouch that the key didn't run."""
+        if self._is_stale(message.epoch):
+            return _Verdict.STALE
+        if record is not None:
+            return _Verdict.DONE if record.outcome else _Verdict.HELD
+        if not self._vouches(now, message.key):
+            return _Verdict.RECOVERING
+        quiet_s = message.quiet_ms / 1000
+        if self._fences.mark(now, message.key, message.attempts, quiet_s):
+            return _Verdict.GRANTED
+        return _Verdict.FULL
+
+    def _grant(
+        self, now: float, claim: _messages.Claim, record: _Record | None
+    ) -> None:
+        """Let ``claim`` stand; a repeated one keeps its first times."""
+        if record is not None and record.claim is not None:
+            if record.claim.claim == claim.claim:
+                return
+        record = self._open(now, claim.key, claim.keep_ms)
+        if record is not None:
+            record.claim = claim
+            record.due_at = now + claim.due_ms / 1000
+
+    def _open(
+        self, now: float, key: ids.RequestKey, keep_ms: int
+    ) -> _Record | None:
+        """Return the record of ``key``, kept for longer; none when full."""
+        expires_at = now + keep_ms / 1000
+        record = self._records.get(key)
+        if record is not None:
+            record.expires_at = max(record.expires_at, expires_at)
+            return record
+        if len(self._records) >= self._max:
+            return None
+        record = _Record(expires_at, int(expires_at) + 1)
+        self._records[key] = record
+        self._buckets.setdefault(record.bucket, set()).add(key)
+        return record
+
+    def _drop(self, key: ids.RequestKey, record: _Record) -> None:
+        """Forget a key."""
+        del self._records[key]
+        self._buckets.get(record.bucket, set()).discard(key)
+
+    def _expire(self, now: float, key: ids.RequestKey) -> None:
+        """Forget a key whose time has come, or look again later."""
+        record = self._records[key]
+        if record.expires_at <= now:
+            del self._records[key]
+            return
+        record.bucket = int(record.expires_at) + 1
+        self._buckets.setdefault(record.bucket, set()).add(key)
+
+    def _keep_outcome(
+        self,
+        record: _Record,
+        key: ids.RequestKey,
+        outcome: _messages.Outcome,
+    ) -> None:
+        """Set the outcome once."""
+        if record.outcome is None:
+            record.outcome = outcome
+            record.claim = None
+        elif record.outcome.claim != outcome.claim:
+            raise errors.FoxtailError(
+                errors.Code.INTERNAL, "a key ran twice", key=key.hex()
+            )
+
+    def _holder(
+        self, now: float, record: _Record | None
+    ) -> _messages.Holder | None:
+        """Describe the claim that stands."""
+        if record is None or record.claim is None:
+            return None
+        return _messages.Holder(
+            record.claim.claim,
+            record.claim.attempt,
+            record.claim.claimant,
+            record.claim.upstream,
+            record.claim.unresolved,
+            int((record.due_at - now) * 1000),
+        )
+
+    def _others(self, key: ids.RequestKey) -> list[ids.HostId]:
+        """Return the other members of the key's groups."""
+        members = self._groups.members(key)
+        return [host for host in members if host != self._host]
+
+    def _is_stale(self, epoch: int) -> bool:
+        """Return whether the sender's roster is older than a known one."""
+        self._epoch = max(self._epoch, self._groups.epoch)
+        if epoch < self._epoch:
+            return True
+        self._epoch = epoch
+        return False
+
+    def _vouches(self, now: float, key: ids.RequestKey) -> bool:
+        """Return whether this member remembers all that it granted."""
+        if self._is_closed:
+            return False
+        if self._recovery.is_over(now):
+            return True
+        return self._recovery.vouches(now, key, self._others(key))
