Give operators messages to ask an entry host

foxtailctl shows what each host has in force, whom it holds live, its upstreams, counters and histograms, and starts a drain. The messages stand in observe under numbers 400 to 449, so that the entry program and the operator's tool share them and neither imports the other.

Histograms come in pages of 16 series: one series has at most 2,560 buckets, so a page stays below the 1 MiB of a link's message.

--- a/foxtailworks/observe/__init__.py
+++ b/foxtailworks/observe/__init__.py
@@ -15,6 +15,21 @@
 from foxtailworks.observe._logs import Events
 from foxtailworks.observe._logs import format_fields
 from foxtailworks.observe._logs import logging_to
+from foxtailworks.observe._messages import CounterLine
+from foxtailworks.observe._messages import DrainAnswer
+from foxtailworks.observe._messages import DrainRequest
+from foxtailworks.observe._messages import HistogramPage
+from foxtailworks.observe._messages import HistogramRequest
+from foxtailworks.observe._messages import HOST_MESSAGES
+from foxtailworks.observe._messages import HostStatus
+from foxtailworks.observe._messages import MAX_LINES
+from foxtailworks.observe._messages import MAX_PAGE
+from foxtailworks.observe._messages import page_of
+from foxtailworks.observe._messages import PeerLine
+from foxtailworks.observe._messages import PeerState
+from foxtailworks.observe._messages import Readiness
+from foxtailworks.observe._messages import StatusRequest
+from foxtailworks.observe._messages import UpstreamLine
 from foxtailworks.observe._metrics import Metrics
 from foxtailworks.observe._metrics import open_metrics
 from foxtailworks.observe._names import Counter
@@ -23,19 +38,34 @@
 from foxtailworks.observe._plot import plot
 
 __all__ = [
+    "HOST_MESSAGES",
+    "MAX_LINES",
+    "MAX_PAGE",
     "OTHER",
     "Bucket",
     "Counter",
+    "CounterLine",
+    "DrainAnswer",
+    "DrainRequest",
     "Events",
     "Gauge",
+    "HistogramPage",
+    "HistogramRequest",
     "HistogramSnapshot",
     "Histograms",
+    "HostStatus",
     "Metrics",
+    "PeerLine",
+    "PeerState",
+    "Readiness",
+    "StatusRequest",
+    "UpstreamLine",
     "describe",
     "format_fields",
     "logging_to",
     "merge",
     "open_metrics",
+    "page_of",
     "percentile",
     "plot",
 ]
--- a/foxtailworks/observe/tests/test_observe.py
+++ b/foxtailworks/observe/tests/test_observe.py
@@ -11,6 +11,7 @@
 from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks import observe
+from foxtailworks import wire
 
 FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
 HIGH = contracts.Priority.HIGH
@@ -96,3 +97,21 @@
     with pytest.raises(errors.FoxtailError) as info:
         observe.merge([hostile])
     assert info.value.code is errors.Code.MESSAGE_MALFORMED
+
+
+def test_pages_hold_all_series_and_fit_a_message():
+    histograms = observe.Histograms()
+    for n in range(100):
+        name = ids.CustomerId(f"c{n}")
+        for value in range(0, 60_000_000, 40_000):
+            histograms.record(name, SERVICE, HIGH, value)
+    codec = wire.Codec(observe.HOST_MESSAGES)
+    found, more = [], True
+    while more:
+        ask = observe.HistogramRequest(1, first=len(found))
+        page = observe.page_of(ask, ids.HostId("a"), histograms.snapshots())
+        data = codec.encode(page)
+        assert len(data) < 1 << 20
+        found.extend(codec.decode(data).snapshots)
+        more = page.more
+    assert tuple(found) == histograms.snapshots()
