--- /dev/null
+++ b/foxtailworks/entry/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m foxtailworks.entry``."""
+
+from foxtailworks import entry
+
+entry.main()
--- /dev/null
+++ b/foxtailworks/entry/_cores.py
@@ -0,0 +1,47 @@
+"""The decision cores of one entry host."""
+
+import random
+import typing
+
+from foxtailworks import contracts
+from foxtailworks.entry import _views
+from foxtailworks import ids
+from foxtailworks import membership
+from foxtailworks import placement
+from foxtailworks import requests
+from foxtailworks import settings
+from foxtailworks import upstreams
+
+MESSAGES: typing.Final[dict[int, type]] = {
+    **membership.MESSAGES,
+    **upstreams.MESSAGES,
+    **placement.MESSAGES,
+    **requests.MESSAGES,
+}
+
+
+class Cores:
+    """Membership, directory and placer, and what they share."""
+
+    def __init__(
+        self,
+        cfg: settings.EntrySettings,
+        incarnation: ids.Incarnation,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        me = membership.Host(
+            id=cfg.host,
+            zone=cfg.zone,
+            region=cfg.region,
+            address=cfg.peer_address,
+            incarnation=incarnation,
+        )
+        self.contracts = contracts.View()
+        self.directory = upstreams.Directory(cfg.host, cfg.zone, rng, now)
+        seeds = tuple(item for item in cfg.seeds if item != cfg.peer_address)
+        self.members = membership.Membership(
+            me, seeds, rng, now, replicas=(self.directory,)
+        )
+        self.placer = placement.Placer(cfg.host, cfg.zone, now, incarnation)
+        self.views = _views.Views(self.members, self.directory, self.placer)
--- a/foxtailworks/entry/_exchanges.py
+++ b/foxtailworks/entry/_exchanges.py
@@ -19,9 +19,7 @@
 MAX_EXCHANGES = 100_000
 
 # An answer and its bytes.
-TakeAnswer: typing.TypeAlias = abc.Callable[
-    [coap.UpstreamAnswer, bytes], None
-]
+TakeAnswer: typing.TypeAlias = abc.Callable[[coap.UpstreamAnswer, bytes], None]
 
 
 @dataclasses.dataclass(slots=True)
--- a/foxtailworks/entry/_fabric.py
+++ b/foxtailworks/entry/_fabric.py
@@ -77,6 +77,4 @@
         """Tell each fabric about this host."""
         assert self.port is not None
         for fabric in self._fabrics:
-            self.port.send(
-                proxyv2.encode(self._me, self._me, payload), fabric
-            )
+            self.port.send(proxyv2.encode(self._me, self._me, payload), fabric)
--- /dev/null
+++ b/foxtailworks/entry/_host.py
@@ -0,0 +1,309 @@
+"""One entry host: its cores, wired to its sockets and links."""
+
+import asyncio
+from collections import abc
+import contextlib
+import functools
+import random
+
+from foxtailworks import contracts
+from foxtailworks.entry import _cores
+from foxtailworks.entry import _fabric
+from foxtailworks.entry import _flows
+from foxtailworks.entry import _keepers
+from foxtailworks.entry import _peers
+from foxtailworks.entry import _registrations
+from foxtailworks.entry import _requests
+from foxtailworks.entry import _services
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import membership
+from foxtailworks import observe
+from foxtailworks import placement
+from foxtailworks import proxyv2
+from foxtailworks import requests
+from foxtailworks import settings
+from foxtailworks import udp
+from foxtailworks import upstreams
+
+TICK_S = 0.05
+DRAIN_STEP_S = 0.05
+LEAVE_MIN_S = 2.0
+LEAVE_MAX_S = 15.0
+
+_EVENTS = observe.Events("entry")
+
+
+class EntryHost:
+    """Wires cores to sockets; holds no decisions of its own.
+
+    :param cfg: settings of this host
+    :param incarnation: larger than that of any earlier start
+    :param rng: source of all choices
+    """
+
+    def __init__(
+        self,
+        cfg: settings.EntrySettings,
+        incarnation: ids.Incarnation,
+        rng: random.Random,
+        metrics: observe.Metrics,
+        clock: abc.Callable[[], float],
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._metrics = metrics
+        self.services = _services.ServiceIndex()
+        self.cores = _cores.Cores(cfg, incarnation, rng, clock())
+        self._peers = _peers.Peers(
+            _cores.MESSAGES, cfg.cluster_key, metrics, self._take_relayed
+        )
+        self._fabric = _fabric.Fabric(
+            cfg.fabric_address, cfg.fabrics, metrics, self._take_packet
+        )
+        self._flows = _flows.FlowPath(
+            self.cores.placer,
+            self.cores.views,
+            self.services,
+            self._peers,
+            self._fabric,
+            metrics,
+        )
+        self.requests = _requests.RequestPath(
+            self.cores,
+            self.services,
+            self._peers,
+            self._fabric,
+            metrics,
+            incarnation,
+            rng,
+            clock,
+        )
+        self._registrations = _registrations.Registrations(
+            self.cores.directory, metrics, self.perform, clock
+        )
+        self.subscription = _keepers.Subscription(
+            cfg, self.cores.members.me, self.cores.contracts, rng, self._apply
+        )
+        self._route_messages()
+
+    def _route_messages(self) -> None:
+        """Say which core takes which messages."""
+        self._peers.on(
+            membership.MESSAGES.values(),
+            functools.partial(self._feed, self.cores.members.on_message),
+        )
+        self._peers.on(
+            upstreams.MESSAGES.values(),
+            functools.partial(self._feed, self.cores.directory.on_message),
+        )
+        self._peers.on(placement.MESSAGES.values(), self._take_placement)
+        self._peers.on(requests.MESSAGES.values(), self.requests.on_message)
+
+    def _feed(
+        self,
+        on_message: abc.Callable[
+            [ids.Address, object, float], abc.Iterable[object]
+        ],
+        src: ids.Address,
+        msg: object,
+    ) -> None:
+        """Give a message to a core and carry out what it asks for."""
+        self.perform(on_message(src, msg, self._clock()))
+
+    def _take_placement(self, src: ids.Address, msg: object) -> None:
+        """Give a message to the placer, by the sender's name."""
+        host = self.cores.views.host_at(src)
+        if host is None:
+            return
+        placer = self.cores.placer
+        self.perform(placer.on_message(host, msg, self._clock()))
+
+    # Actions.
+
+    def perform(self, actions: abc.Iterable[object]) -> None:
+        """Carry out what a core asks for."""
+        for action in actions:
+            self._perform(action)
+
+    @functools.singledispatchmethod
+    def _perform(self, action: object) -> None:
+        """Log an event that asks for nothing."""
+        _EVENTS.debug("noted", what=type(action).__name__)
+
+    @_perform.register
+    def _send_datagram(self, action: membership.Send) -> None:
+        """Send a message to an address."""
+        self._peers.send(action.to, action.msg)
+
+    @_perform.register
+    def _send_to_host(self, action: placement.Send) -> None:
+        """Send a message to a host."""
+        address = self.cores.views.address_of(action.host)
+        if address is not None:
+            self._peers.send(address, action.message)
+
+    @_perform.register
+    def _host_changed(self, action: membership.HostChanged) -> None:
+        """Log a host's change."""
+        _EVENTS.info(
+            "host_changed",
+            host=action.host.id,
+            state=action.state.name.lower(),
+            incarnation=action.host.incarnation,
+        )
+
+    @_perform.register
+    def _upstream_changed(self, action: upstreams.UpstreamChanged) -> None:
+        """Log an upstream's change and end what was placed there."""
+        _EVENTS.info(
+            "upstream_changed",
+            upstream=action.id,
+            service=action.upstream.service,
+            takes_work=action.takes_work,
+            is_open=action.is_open,
+        )
+        if not action.is_open:
+            self.requests.upstream_gone(action.id)
+
+    # Packets.
+
+    def _take_packet(self, packet: proxyv2.Packet) -> None:
+        """Take a caller's packet from the fabric."""
+        self._dispatch(packet, None)
+
+    def _take_relayed(self, packet: proxyv2.Packet, src: ids.Address) -> None:
+        """Take a caller's packet from another host."""
+        host = self.cores.views.host_at(src)
+        if host is None:
+            self._metrics.count(observe.Counter.PEERS_DROPPED)
+            return
+        self._dispatch(packet, host)
+
+    def _dispatch(
+        self, packet: proxyv2.Packet, relayed_from: ids.HostId | None
+    ) -> None:
+        """Give a packet to the path of its service's kind."""
+        route = self.services.at(packet.target)
+        if route is None:
+            self._metrics.count(observe.Counter.PACKETS_DROPPED)
+        elif route.service.kind is contracts.ServiceKind.FLOW:
+            self._flows.take(route, packet, relayed_from, self._clock())
+        else:
+            self.requests.take(route, packet)
+
+    def _take_flow_answer(self, data: bytes, src: ids.Address) -> None:
+        """Take a packet of a flow's upstream."""
+        try:
+            packet = proxyv2.decode(data)
+        except errors.FoxtailError:
+            self._metrics.count(observe.Counter.PACKETS_DROPPED)
+            return
+        self._flows.take_answer(packet, src, self._clock())
+
+    def _take_announcement(self, data: bytes, src: ids.Address) -> None:
+        """Take an upstream's registration and confirm it."""
+        answer = self._registrations.take(data)
+        if answer is not None and self._announce_port is not None:
+            self._announce_port.send(answer, src)
+
+    _announce_port: udp.Port | None = None
+
+    # Contracts.
+
+    def _apply(self, update: contracts.Update) -> None:
+        """Put a new version in force."""
+        now = self._clock()
+        self._metrics.count(observe.Counter.CONTRACTS_APPLIED)
+        view = self.cores.contracts
+        items = [
+            contracts.parse_contract(item.document) for item in view.contracts
+        ]
+        self.services.set_contracts(items)
+        self.cores.placer.set_idle_times(
+            {
+                item.key: float(item.service.flow_idle_s)
+                for item in self.services.all()
+            }
+        )
+        if update.roster is not None:
+            self.requests.set_roster(update.roster, now)
+        _EVENTS.info(
+            "version_in_force",
+            version=view.version,
+            epoch=view.roster.epoch,
+            customers=len(items),
+        )
+
+    # Life.
+
+    @contextlib.asynccontextmanager
+    async def opened(self) -> abc.AsyncIterator[None]:
+        """Hold all sockets and run the tasks."""
+        cfg = self._cfg
+        own = cfg.peer_address.ip
+        async with contextlib.AsyncExitStack() as stack:
+            hold = stack.enter_async_context
+            at = cfg.peer_address
+            self._peers.port = await hold(
+                udp.open_port(at.ip, at.port, self._peers.take)
+            )
+            at = cfg.fabric_address
+            self._fabric.port = await hold(
+                udp.open_port(at.ip, at.port, self._fabric.take)
+            )
+            at = cfg.announce_address
+            self._announce_port = await hold(
+                udp.open_port(at.ip, at.port, self._take_announcement)
+            )
+            self._flows.port = await hold(
+                udp.open_port(own, 0, self._take_flow_answer)
+            )
+            self.requests.exchanges.port = await hold(
+                udp.open_port(own, 0, self.requests.exchanges.take)
+            )
+            tasks = [
+                asyncio.ensure_future(self._tick()),
+                asyncio.ensure_future(self.subscription.run()),
+            ]
+            try:
+                yield
+            finally:
+                for task in tasks:
+                    task.cancel()
+
+    async def _tick(self) -> None:
+        """Let time pass in all cores."""
+        while True:
+            self._tick_once(self._clock())
+            await asyncio.sleep(TICK_S)
+
+    def _tick_once(self, now: float) -> None:
+        """Let time pass once."""
+        cores = self.cores
+        self.perform(cores.members.on_tick(now))
+        if cores.views.refresh(now):
+            self.requests.set_alive()
+        self.perform(cores.placer.on_tick(now))
+        self.requests.on_tick(now)
+        if self.is_ready():
+            self._fabric.on_tick(now)
+
+    def is_ready(self) -> bool:
+        """Tell whether packets can be served: contracts and roster known."""
+        return self.requests.has_roster()
+
+    async def leave(self) -> None:
+        """Stop taking new work, hand over, and finish what is under way."""
+        start = self._clock()
+        self._fabric.withdraw()
+        self.requests.leave()
+        self.cores.placer.leave(start)
+        self.perform(self.cores.members.leave(start))
+        while self._clock() - start < LEAVE_MAX_S:
+            await asyncio.sleep(DRAIN_STEP_S)
+            spent = self._clock() - start
+            if spent >= LEAVE_MIN_S and self.requests.is_idle():
+                break
+        self.requests.hand_over(self._clock())
+        await asyncio.sleep(DRAIN_STEP_S)
--- /dev/null
+++ b/foxtailworks/entry/_keepers.py
@@ -0,0 +1,94 @@
+"""Contracts in force: subscription to the keepers."""
+
+import asyncio
+from collections import abc
+import random
+
+from foxtailworks import contracts
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import links
+from foxtailworks import membership
+from foxtailworks import observe
+from foxtailworks import settings
+from foxtailworks import wire
+
+RETRY_S = 1.0
+REPORT_S = 2.0
+LINK_TIMEOUT_S = 3.0
+
+_EVENTS = observe.Events("contracts")
+_CODEC = wire.Codec(contracts.ENTRY_MESSAGES)
+
+
+class Subscription:
+    """Keeps the contracts and the roster up to date.
+
+    :param changed: called after each version that was put in force
+    """
+
+    def __init__(
+        self,
+        cfg: settings.EntrySettings,
+        me: membership.Host,
+        view: contracts.View,
+        rng: random.Random,
+        changed: abc.Callable[[contracts.Update], None],
+    ) -> None:
+        self._cfg = cfg
+        self._me = me
+        self._view = view
+        self._rng = rng
+        self._changed = changed
+
+    async def run(self) -> None:
+        """Stay subscribed to one keeper after another."""
+        while True:
+            for keeper in self._rng.sample(
+                self._cfg.keepers, len(self._cfg.keepers)
+            ):
+                try:
+                    await self._follow(keeper)
+                except errors.FoxtailError as exc:
+                    _EVENTS.failed("subscription_ended", exc)
+            await asyncio.sleep(RETRY_S)
+
+    async def _follow(self, keeper: ids.Address) -> None:
+        """Take updates of one keeper until the link ends."""
+        async with links.dial(
+            keeper, _CODEC, self._cfg.tls, LINK_TIMEOUT_S
+        ) as link:
+            await self._subscribe(link)
+            reports = asyncio.ensure_future(self._report(link))
+            try:
+                async for msg in link:
+                    await self._take(link, msg)
+            finally:
+                reports.cancel()
+
+    async def _subscribe(self, link: links.Link) -> None:
+        """Ask for everything after the version in force."""
+        await link.send(
+            contracts.Subscribe(
+                self._me.id,
+                self._me.zone,
+                self._me.address,
+                self._view.version,
+            )
+        )
+
+    async def _report(self, link: links.Link) -> None:
+        """Report what is in force, again and again."""
+        while True:
+            await link.send(contracts.InForce(self._me.id, self._view.version))
+            await asyncio.sleep(REPORT_S)
+
+    async def _take(self, link: links.Link, msg: object) -> None:
+        """Put an update in force, or ask again after a gap."""
+        if not isinstance(msg, contracts.Update):
+            return
+        if self._view.apply(msg):
+            self._changed(msg)
+            await link.send(contracts.InForce(self._me.id, self._view.version))
+        elif msg.since > self._view.version:
+            await self._subscribe(link)
--- a/foxtailworks/entry/_keyed.py
+++ b/foxtailworks/entry/_keyed.py
@@ -4,12 +4,12 @@
 import dataclasses
 import functools
 import math
+import typing
 
 from foxtailworks import coap
 from foxtailworks.entry import _exchanges
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _replies
-from foxtailworks.entry import _services
 from foxtailworks.entry import _views
 from foxtailworks import ids
 from foxtailworks import observe
@@ -60,13 +60,9 @@
             handle=call,
             retention_s=float(call.route.service.key_retention_s),
         )
-        if self._replies.admit(call, now):
-            self.perform(self._coordinator.request(now, arrival))
-        else:
-            retry_s = self._replies.retry_after_s()
-            self.perform(self._coordinator.refuse(now, arrival, retry_s))
+        self.perform(self._coordinator.request(now, arrival))
 
-    def on_message(self, src: ids.Address, msg: object) -> None:
+    def on_message(self, src: ids.Address, msg: typing.Any) -> None:
         """Take a message of another host in."""
         host = self._views.host_at(src)
         if host is not None:
--- /dev/null
+++ b/foxtailworks/entry/_requests.py
@@ -0,0 +1,201 @@
+"""The path of requests: read, sort by kind, answer."""
+
+from collections import abc
+import random
+
+from foxtailworks import coap
+from foxtailworks import contracts
+from foxtailworks.entry import _choice
+from foxtailworks.entry import _cores
+from foxtailworks.entry import _exchanges
+from foxtailworks.entry import _fabric
+from foxtailworks.entry import _idempotent
+from foxtailworks.entry import _keyed
+from foxtailworks.entry import _peers
+from foxtailworks.entry import _replies
+from foxtailworks.entry import _services
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import observe
+from foxtailworks import proxyv2
+from foxtailworks import requests
+
+RETENTION_S = 300.0
+MS_PER_S = 1000
+
+
+class RequestPath:
+    """Sorts callers' messages and owns the paths of requests."""
+
+    def __init__(
+        self,
+        cores: _cores.Cores,
+        services: _services.ServiceIndex,
+        peers: _peers.Peers,
+        fabric: _fabric.Fabric,
+        metrics: observe.Metrics,
+        incarnation: ids.Incarnation,
+        rng: random.Random,
+        clock: abc.Callable[[], float],
+    ) -> None:
+        self._cores = cores
+        self._peers = peers
+        self._fabric = fabric
+        self._metrics = metrics
+        self._incarnation = incarnation
+        self._rng = rng
+        self._clock = clock
+        self._started_at = clock()
+        self.histograms = observe.Histograms()
+        self.exchanges = _exchanges.Exchanges(
+            rng.randrange(_exchanges.MESSAGE_IDS), metrics
+        )
+        self._replies = _replies.Replies(
+            fabric, metrics, self.histograms, rng, clock
+        )
+        self._choice = _choice.Choice(cores.directory, services, rng, clock)
+        self._idempotent = _idempotent.IdempotentPath(
+            self._choice,
+            cores.directory,
+            self.exchanges,
+            self._replies,
+            clock,
+        )
+        self._groups: requests.KeyGroups | None = None
+        self._coordinator: requests.Coordinator | None = None
+        self._keyed: _keyed.KeyedPath | None = None
+
+    # Roster and hosts.
+
+    def has_roster(self) -> bool:
+        """Tell whether the groups of keys are known."""
+        return self._keyed is not None
+
+    def set_roster(self, roster: contracts.Roster, now: float) -> None:
+        """Take in a roster; the first one makes the coordinator."""
+        hosts = tuple((item.host, item.zone) for item in roster.hosts)
+        current = requests.Roster(int(roster.epoch), hosts)
+        if self._groups is None:
+            self._start(current)
+        else:
+            self._groups.change(now, current)
+
+    def _start(self, roster: requests.Roster) -> None:
+        """Make the coordinator and this host's memory of claims."""
+        me = self._cores.members.me
+        groups = requests.KeyGroups(roster, RETENTION_S)
+        recovery = requests.Recovery(
+            self._started_at, RETENTION_S, fresh=False
+        )
+        store = requests.ClaimStore(me.id, groups, recovery)
+        self._groups = groups
+        self._coordinator = requests.Coordinator(
+            me.id, self._incarnation, groups, store, self._choice, self._rng
+        )
+        self._keyed = _keyed.KeyedPath(
+            self._coordinator,
+            self._cores.views,
+            self._cores.directory,
+            self.exchanges,
+            self._peers,
+            self._replies,
+            self._clock,
+        )
+        self.set_alive()
+
+    def set_alive(self) -> None:
+        """Take in which hosts are held to be live."""
+        if self._coordinator is not None:
+            self._coordinator.set_alive(
+                [item.id for item in self._cores.members.live()]
+            )
+
+    def upstream_gone(self, upstream: ids.UpstreamId) -> None:
+        """Give up on what was placed on an upstream that has ended."""
+        if self._coordinator is not None and self._keyed is not None:
+            now = self._clock()
+            self._keyed.perform(self._coordinator.upstream_gone(now, upstream))
+
+    # Messages.
+
+    def take(self, route: _services.Route, packet: proxyv2.Packet) -> None:
+        """Take a caller's message, from the fabric or another host."""
+        kind = coap.kind_of(packet.payload)
+        if kind is coap.Kind.PING:
+            answer = coap.reset(packet.payload)
+            self._fabric.answer(packet.target, packet.source, answer)
+        elif kind is coap.Kind.REQUEST:
+            self._take_request(route, packet)
+        else:
+            self._metrics.count(observe.Counter.PACKETS_DROPPED)
+
+    def _take_request(
+        self, route: _services.Route, packet: proxyv2.Packet
+    ) -> None:
+        """Read a request and give it to the path of its kind."""
+        self._metrics.count(observe.Counter.REQUESTS_RECEIVED)
+        try:
+            req = coap.read_request(packet.payload)
+        except errors.FoxtailError:
+            self._refuse_malformed(packet)
+            return
+        now = self._clock()
+        call = _make_call(route, packet, req, now)
+        if req.method.idempotent:
+            self._idempotent.take(call, now)
+        elif self._keyed is not None:
+            self._keyed.take(call, now)
+
+    def _refuse_malformed(self, packet: proxyv2.Packet) -> None:
+        """Answer a request that can't be read."""
+        self._metrics.count(observe.Counter.REQUESTS_MALFORMED)
+        answer = coap.bad_request(packet.payload)
+        if answer is not None:
+            self._fabric.answer(packet.target, packet.source, answer)
+
+    def on_message(self, src: ids.Address, msg: object) -> None:
+        """Take another host's message about keyed requests."""
+        if self._keyed is not None:
+            self._keyed.on_message(src, msg)
+
+    def on_tick(self, now: float) -> None:
+        """Let time pass."""
+        self.exchanges.on_tick(now)
+        if self._keyed is not None:
+            self._keyed.on_tick(now)
+
+    # Leaving.
+
+    def leave(self) -> None:
+        """Take no new keyed requests."""
+        if self._coordinator is not None:
+            self._coordinator.leave()
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing is under way."""
+        keyed = self._coordinator
+        return len(self.exchanges) == 0 and (keyed is None or keyed.is_idle())
+
+    def hand_over(self, now: float) -> None:
+        """Give this host's claims to the others."""
+        if self._coordinator is not None and self._keyed is not None:
+            self._keyed.perform(self._coordinator.hand_over(now))
+
+
+def _make_call(
+    route: _services.Route,
+    packet: proxyv2.Packet,
+    req: coap.Request,
+    now: float,
+) -> _replies.Call:
+    """Return a call with its class and deadline."""
+    kind = route.class_of(req)
+    deadline_ms = req.deadline_ms or kind.deadline_ms
+    return _replies.Call(
+        route=route,
+        packet=packet,
+        req=req,
+        kind=kind,
+        began=now,
+        deadline=now + deadline_ms / MS_PER_S,
+    )
