--- a/foxtailworks/errors/_codes.py
+++ b/foxtailworks/errors/_codes.py
@@ -47,6 +47,7 @@
     # 8000: membership and upstreams
     UPSTREAM_SUPERSEDED = 8001, "The address has a newer incarnation."
     ANNOUNCEMENT_INVALID = 8002, "An announcement is out of its bounds."
+    HOST_INVALID = 8003, "A claim on a host is out of its bounds."
 
 
 def describe(code: Code) -> str:
--- a/foxtailworks/membership/__init__.py
+++ b/foxtailworks/membership/__init__.py
@@ -21,11 +21,11 @@
 from foxtailworks.membership._events import ZoneChanged
 from foxtailworks.membership._host import Host
 from foxtailworks.membership._host import HostState
-from foxtailworks.membership._hosts import inner_sends
 from foxtailworks.membership._messages import MESSAGES
 from foxtailworks.membership._replica import BucketHashes
+from foxtailworks.membership._replica import Queue
 from foxtailworks.membership._replica import Replica
-from foxtailworks.membership._rumours import Rumours
+from foxtailworks.membership._replica import Spread
 
 __all__ = [
     "MESSAGES",
@@ -37,9 +37,9 @@
     "HostState",
     "IsolationChanged",
     "Membership",
+    "Queue",
     "Replica",
-    "Rumours",
     "Send",
+    "Spread",
     "ZoneChanged",
-    "inner_sends",
 ]
--- a/foxtailworks/membership/_host.py
+++ b/foxtailworks/membership/_host.py
@@ -4,6 +4,7 @@
 import enum
 import typing
 
+from foxtailworks import errors
 from foxtailworks import ids
 
 
@@ -20,6 +21,9 @@
     """Announced its graceful leave."""
 
 
+MAX_NAME = 64
+MAX_INCARNATION = 1 << 62
+
 LIVE_STATES = frozenset({HostState.ALIVE, HostState.SUSPECT})
 
 
@@ -40,6 +44,15 @@
     state: HostState = HostState.ALIVE
     """What is claimed."""
 
+    def __post_init__(self) -> None:
+        """Refuse values out of bounds."""
+        names = (self.id, self.zone, self.region)
+        is_named = all(0 < len(name) <= MAX_NAME for name in names)
+        if not is_named or not 0 <= self.incarnation <= MAX_INCARNATION:
+            raise errors.FoxtailError(
+                errors.Code.HOST_INVALID, "host out of bounds", id=self.id
+            )
+
     @property
     def is_live(self) -> bool:
         """Tell whether the host may be given work."""
--- a/foxtailworks/membership/_hosts.py
+++ b/foxtailworks/membership/_hosts.py
@@ -1,8 +1,6 @@
 """The replicated table of hosts."""
 
 from collections import abc
-import math
-
 from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks.membership import _config
@@ -10,14 +8,6 @@
 from foxtailworks.membership import _host
 from foxtailworks.membership import _messages
 from foxtailworks.membership import _replica
-from foxtailworks.membership import _rumours
-
-OUTER_ROUNDS = 2
-
-
-def inner_sends(hosts: int) -> int:
-    """Return how often each host passes a record on among ``hosts``."""
-    return 2 + math.ceil(math.log2(hosts + 1))
 
 
 class HostTable:
@@ -33,8 +23,8 @@
         self._ended_at: dict[ids.HostId, float] = {}
         self._buckets: dict[int, set[ids.HostId]] = {}
         self._by_zone: dict[ids.ZoneId, dict[ids.HostId, _host.Host]] = {}
-        self._zone_hosts = 1
-        self.rumours = _rumours.Rumours()
+        self._queue = _replica.Queue()
+        self.rumours = self._queue.rumours
         self.hashes = _replica.BucketHashes()
         self.changed_at = 0.0
         self.dropped = 0
@@ -67,13 +57,13 @@
         """Return the encoded claim on a host that the table knows."""
         return self._items[host_id]
 
-    def ended_at(self, host_id: ids.HostId) -> float | None:
-        """Return when the host was found to have ended."""
-        return self._ended_at.get(host_id)
+    def ended_at(self, host_id: ids.HostId) -> float:
+        """Return when an ended host was found to have ended."""
+        return self._ended_at[host_id]
 
-    def set_hosts(self, count: int) -> None:
-        """Learn how many hosts of the own availability zone are live."""
-        self._zone_hosts = count
+    def set_role(self, zone_hosts: int, is_relay: bool) -> None:
+        """Learn the size of the own zone and whether this host relays."""
+        self._queue.set_role(zone_hosts, is_relay)
 
     def decode(self, item: bytes) -> _host.Host:
         """Return the claim in ``item``."""
@@ -82,7 +72,7 @@
         return host
 
     def merge(
-        self, record: _host.Host, from_own_zone: bool, now: float
+        self, record: _host.Host, spread: _replica.Spread, now: float
     ) -> list[object]:
         """Take a claim in if it ends the one held."""
         old = self._hosts.get(record.id)
@@ -92,7 +82,7 @@
             self.dropped += 1
             return []
         self._put(old, record, now)
-        self._spread(record, from_own_zone)
+        self._spread(record, spread)
         return [_events.HostChanged(record, record.state)]
 
     def _put(
@@ -127,20 +117,13 @@
             host = host.with_changes(state=_host.HostState.ALIVE)
         self.hashes.set(host.id, _messages.CODEC.encode(host))
 
-    def _spread(self, record: _host.Host, from_own_zone: bool) -> None:
+    def _spread(self, record: _host.Host, spread: _replica.Spread) -> None:
         """Pass a claim on; doubt stays in the availability zone."""
         is_doubt = record.state is _host.HostState.SUSPECT
-        self.rumours.put(
-            record.id,
-            self._items[record.id],
-            inner=inner_sends(self._zone_hosts),
-            outer=OUTER_ROUNDS if from_own_zone and not is_doubt else 0,
-            urgent=not record.is_live,
-        )
-
-    def respread(self, host_id: ids.HostId) -> None:
-        """Pass the claim on a host on once more."""
-        self._spread(self._hosts[host_id], from_own_zone=True)
+        if is_doubt and spread is _replica.Spread.EVERYWHERE:
+            spread = _replica.Spread.ZONE
+        item = self._items[record.id]
+        self._queue.put(record.id, item, spread, urgent=not record.is_live)
 
     def _make_room(self) -> bool:
         """Forget the host that ended first when the table is full."""
--- a/foxtailworks/membership/_replica.py
+++ b/foxtailworks/membership/_replica.py
@@ -1,6 +1,8 @@
 """Tables that every host keeps a copy of, compared by bucket hashes."""
 
 from collections import abc
+import enum
+import math
 import typing
 
 import xxhash
@@ -9,6 +11,7 @@
 from foxtailworks.membership import _rumours
 
 BUCKETS = 256
+OUTER_ROUNDS = 2
 HASH_BYTES = 4
 
 
@@ -56,6 +59,40 @@
         ]
 
 
+class Spread(enum.Enum):
+    """How far a record that was taken in is passed on."""
+
+    NONE = "none"
+    """Others have it or get it by comparing tables."""
+    ZONE = "zone"
+    """Within the own availability zone."""
+    EVERYWHERE = "everywhere"
+    """Through the relays to all availability zones."""
+
+
+class Queue:
+    """Passes the records of one table on as far as they have to go."""
+
+    def __init__(self) -> None:
+        self.rumours = _rumours.Rumours()
+        self._sends = 2
+        self._outer_rounds = 0
+
+    def set_role(self, zone_hosts: int, is_relay: bool) -> None:
+        """Learn the size of the own zone and whether this host relays."""
+        self._sends = 2 + math.ceil(math.log2(zone_hosts + 1))
+        self._outer_rounds = OUTER_ROUNDS if is_relay else 0
+
+    def put(self, key: str, item: bytes, spread: Spread, urgent: bool) -> None:
+        """Pass an encoded record on."""
+        if spread is Spread.NONE:
+            self.rumours.drop(key)
+            return
+        is_far = spread is Spread.EVERYWHERE
+        outer = self._outer_rounds if is_far else 0
+        self.rumours.put(key, item, self._sends, outer, urgent)
+
+
 def tag_of(item: bytes) -> int:
     """Return the number of an encoded record's type, or -1.
 
@@ -84,7 +121,7 @@
         """
 
     def merge(
-        self, record: typing.Any, from_own_zone: bool, now: float
+        self, record: typing.Any, spread: Spread, now: float
     ) -> abc.Iterable[object]:
         """Take a record in; yield events if it changed something."""
 
@@ -99,5 +136,5 @@
     def on_tick(self, now: float) -> abc.Iterable[object]:
         """Let time pass."""
 
-    def set_hosts(self, count: int) -> None:
-        """Learn how many hosts of the own availability zone are live."""
+    def set_role(self, zone_hosts: int, is_relay: bool) -> None:
+        """Learn the size of the own zone and whether this host relays."""
--- a/foxtailworks/membership/_rumours.py
+++ b/foxtailworks/membership/_rumours.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-MAX_RUMOURS = 4_096
+MAX_RUMOURS = 1_024
 ITEM_OVERHEAD_BYTES = 3
 
 
@@ -45,6 +45,10 @@
             self._drop_one()
         self._rumours[key] = _Rumour(item, inner, outer, urgent)
 
+    def drop(self, key: str) -> None:
+        """Pass the record of ``key`` on no more: it is out of date."""
+        self._rumours.pop(key, None)
+
     def _drop_one(self) -> None:
         """Make room for a newer record."""
         key = min(self._rumours, key=lambda key: self._rumours[key].inner)
--- a/foxtailworks/membership/_zones.py
+++ b/foxtailworks/membership/_zones.py
@@ -12,7 +12,6 @@
 from foxtailworks.membership import _hosts
 from foxtailworks.membership import _messages
 from foxtailworks.membership import _replica
-from foxtailworks.membership import _rumours
 
 REPORT_REFRESH_S = 5.0
 MAX_REPORTS = 1_024
@@ -63,10 +62,10 @@
         self._hosts = hosts
         self._reports: dict[tuple[ids.HostId, ids.ZoneId], _Report] = {}
         self._contacts: dict[ids.ZoneId, _Contact] = {}
-        self._zone_hosts = 1
+        self._queue = _replica.Queue()
         self._sequence = 0
         self.cut: frozenset[ids.ZoneId] = frozenset()
-        self.rumours = _rumours.Rumours()
+        self.rumours = self._queue.rumours
         self.hashes = _replica.BucketHashes()
         self.changed_at = 0.0
 
@@ -111,12 +110,12 @@
             report = _messages.ZoneReport(
                 self._me.id, self._sequence, zone, reachable
             )
-            events += self.merge(report, True, now)
+            events += self.merge(report, _replica.Spread.ZONE, now)
         return events
 
-    def set_hosts(self, count: int) -> None:
-        """Learn how many hosts of the own availability zone are live."""
-        self._zone_hosts = count
+    def set_role(self, zone_hosts: int, is_relay: bool) -> None:
+        """Learn the size of the own zone and whether this host relays."""
+        self._queue.set_role(zone_hosts, is_relay)
 
     def decode(self, item: bytes) -> _messages.ZoneReport:
         """Return the report in ``item``."""
@@ -125,7 +124,10 @@
         return report
 
     def merge(
-        self, record: _messages.ZoneReport, from_own_zone: bool, now: float
+        self,
+        record: _messages.ZoneReport,
+        spread: _replica.Spread,
+        now: float,
     ) -> list[object]:
         """Take a report in if it is newer; only relays of the own zone."""
         reporter = self._hosts.get(record.reporter)
@@ -139,11 +141,10 @@
             return []
         until = now + self._cfg.zone_report_s
         self._reports[key] = _Report(record.sequence, record.reachable, until)
-        self.rumours.put(
+        self._queue.put(
             f"{record.reporter}/{record.zone}",
             _messages.CODEC.encode(record),
-            inner=_hosts.inner_sends(self._zone_hosts),
-            outer=0,
+            _replica.Spread.ZONE,
             urgent=True,
         )
         return self._judge(now)
--- a/foxtailworks/upstreams/_directory.py
+++ b/foxtailworks/upstreams/_directory.py
@@ -307,16 +307,22 @@
         return record
 
     def merge(
-        self, record: _record.Upstream, from_own_zone: bool, now: float
+        self,
+        record: _record.Upstream,
+        spread: membership.Spread,
+        now: float,
     ) -> abc.Iterator[object]:
         """Take a record in that another host passed on."""
-        return self._change(record, now, from_own_zone)
+        return self._change(record, now, spread)
 
     def _change(
-        self, new: _record.Upstream, now: float, spread_outer: bool = True
+        self,
+        new: _record.Upstream,
+        now: float,
+        spread: membership.Spread = membership.Spread.EVERYWHERE,
     ) -> abc.Iterator[object]:
         """Take a record in; return events on what it changed."""
-        merged = self._table.merge(new, spread_outer, now)
+        merged = self._table.merge(new, spread, now)
         if merged is None:
             return iter(())
         old, stands = merged
@@ -350,9 +356,9 @@
         """Return the encoded records of ``bucket``."""
         return self._table.items_of(bucket)
 
-    def set_hosts(self, count: int) -> None:
-        """Learn how many hosts of the own availability zone are live."""
-        self._table.set_hosts(count)
+    def set_role(self, zone_hosts: int, is_relay: bool) -> None:
+        """Learn the size of the own zone and whether this host relays."""
+        self._table.set_role(zone_hosts, is_relay)
 
     def on_tick(self, now: float) -> abc.Iterator[object]:
         """Expire what wasn't announced for its lifetime."""
--- a/foxtailworks/upstreams/_table.py
+++ b/foxtailworks/upstreams/_table.py
@@ -9,8 +9,6 @@
 from foxtailworks.upstreams import _messages
 from foxtailworks.upstreams import _record
 
-OUTER_ROUNDS = 2
-
 
 class UpstreamTable:
     """Holds the record of each address that stands against all others."""
@@ -25,8 +23,8 @@
         ] = {}
         self._buckets: dict[int, set[ids.Address]] = {}
         self._ended_at: dict[ids.Address, float] = {}
-        self._zone_hosts = 1
-        self.rumours = membership.Rumours()
+        self._queue = membership.Queue()
+        self.rumours = self._queue.rumours
         self.hashes = membership.BucketHashes()
         self.changed_at = 0.0
         self.dropped = 0
@@ -53,9 +51,9 @@
         """Return the open upstreams of a service."""
         return self._by_service.get(key, {}).values()
 
-    def set_hosts(self, count: int) -> None:
-        """Learn how many hosts of the own availability zone are live."""
-        self._zone_hosts = count
+    def set_role(self, zone_hosts: int, is_relay: bool) -> None:
+        """Learn the size of the own zone and whether this host relays."""
+        self._queue.set_role(zone_hosts, is_relay)
 
     def has_room(self) -> bool:
         """Tell whether a new address can be taken in."""
@@ -64,7 +62,7 @@
         )
 
     def merge(
-        self, new: _record.Upstream, spread_outer: bool, now: float
+        self, new: _record.Upstream, spread: membership.Spread, now: float
     ) -> tuple[_record.Upstream | None, _record.Upstream] | None:
         """Take a record in; return the old and the standing one if changed."""
         old = self._records.get(new.address)
@@ -78,7 +76,13 @@
             return None
         self._check(old, new)
         self._put(old, new, now)
-        self._spread(old, new, spread_outer)
+        # What ends new work goes first.
+        self._queue.put(
+            str(new.address),
+            self._items[new.address],
+            spread,
+            urgent=not new.takes_work,
+        )
         return old, new
 
     def _check(
@@ -130,21 +134,6 @@
         if not peers:
             self._by_service.pop(old.key, None)
 
-    def _spread(
-        self,
-        old: _record.Upstream | None,
-        new: _record.Upstream,
-        spread_outer: bool,
-    ) -> None:
-        """Pass a record on; those that end new work go first."""
-        self.rumours.put(
-            str(new.address),
-            self._items[new.address],
-            inner=membership.inner_sends(self._zone_hosts),
-            outer=OUTER_ROUNDS if spread_outer else 0,
-            urgent=not new.takes_work,
-        )
-
     def _make_room(self) -> bool:
         """Forget the record that ended first when the table is full."""
         if len(self._records) < self._cfg.max_upstreams:
