--- /dev/null
+++ b/foxtailworks/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, demonstrations and long randomised runs."""
