--- a/foxtailworks/bench/__init__.py
+++ b/foxtailworks/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements, demonstrations and long randomised runs."""
+"""Benchmarks, the soak, and the judge of runs on real processes."""
