--- a/foxtailworks/bench/_virtual.py
+++ b/foxtailworks/bench/_virtual.py
@@ -202,9 +202,7 @@
             self._handle(process, source, data)
         self.emit(process, process.membership.on_tick(self.now))
 
-    def emit(
-        self, process: Process, actions: abc.Iterator[object]
-    ) -> None:
+    def emit(self, process: Process, actions: abc.Iterator[object]) -> None:
         """Carry out a core's actions and count what they cost."""
         began = time.perf_counter()
         done = list(actions)
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -284,7 +284,7 @@
         self.perform(cores.members.on_tick(now))
         if cores.views.refresh(now):
             self.requests.set_alive()
-        self.perform(cores.placer.on_tick(now))
+        self.perform(cores.placer.tick(now))
         self.requests.on_tick(now)
         if self.is_ready():
             self._fabric.on_tick(now)
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -174,7 +174,7 @@
     def is_idle(self) -> bool:
         """Tell whether nothing is under way."""
         keyed = self._coordinator
-        return len(self.exchanges) == 0 and (keyed is None or keyed.is_idle())
+        return len(self.exchanges) == 0 and (keyed is None or keyed.is_idle)
 
     def hand_over(self, now: float) -> None:
         """Give this host's claims to the others."""
