Tell a new member of the roster from one that has lost its memory

Ruled out: lost replies (the store answered none). Change: the roster keeps the incarnation under which a host joined; only that process may vouch at once, every later one recovers first.

--- a/foxtailworks/contracts/_catalogue.py
+++ b/foxtailworks/contracts/_catalogue.py
@@ -156,7 +156,10 @@
         """Take joined and left hosts; no new epoch when nothing changes."""
         hosts = {item.host: item for item in self.view.roster.hosts}
         for item in edit.joined:
-            if item.host in hosts or len(hosts) < MAX_HOSTS:
+            known = hosts.get(item.host)
+            if known is None and len(hosts) >= MAX_HOSTS:
+                continue
+            if known is None or not known.same_place(item):
                 hosts[item.host] = item
         for name in edit.left:
             hosts.pop(name, None)
--- a/foxtailworks/contracts/_edits.py
+++ b/foxtailworks/contracts/_edits.py
@@ -49,6 +49,12 @@
     """Its availability zone."""
     address: ids.Address
     """Where the other entry hosts reach it."""
+    incarnation: ids.Incarnation = ids.Incarnation(0)
+    """Of the process that joined; a later one has lost its memory."""
+
+    def same_place(self, other: "RosterHost") -> bool:
+        """Tell whether both differ by their incarnation at most."""
+        return dataclasses.replace(other, incarnation=self.incarnation) == self
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailworks/contracts/_entry.py
+++ b/foxtailworks/contracts/_entry.py
@@ -18,6 +18,8 @@
     """Where the other entry hosts reach it."""
     have_version: ids.Version
     """Version in force on the host; 0 after a restart."""
+    incarnation: ids.Incarnation = ids.Incarnation(0)
+    """Of the host's process."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailworks/entry/_keepers.py
+++ b/foxtailworks/entry/_keepers.py
@@ -74,6 +74,7 @@
                 self._me.zone,
                 self._me.address,
                 self._view.version,
+                self._me.incarnation,
             )
         )
 
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -75,18 +75,17 @@
         """Take in a roster; the first one makes the coordinator."""
         hosts = tuple((item.host, item.zone) for item in roster.hosts)
         current = requests.Roster(int(roster.epoch), hosts)
-        if self._groups is None:
-            self._start(current)
-        else:
+        mine = roster.find(self._cores.members.me.id)
+        if self._groups is not None:
             self._groups.change(now, current)
+        elif mine is not None:
+            self._start(current, mine.incarnation == self._incarnation)
 
-    def _start(self, roster: requests.Roster) -> None:
+    def _start(self, roster: requests.Roster, fresh: bool) -> None:
         """Make the coordinator and this host's memory of claims."""
         me = self._cores.members.me
         groups = requests.KeyGroups(roster, RETENTION_S)
-        recovery = requests.Recovery(
-            self._started_at, RETENTION_S, fresh=False
-        )
+        recovery = requests.Recovery(self._started_at, RETENTION_S, fresh)
         store = requests.ClaimStore(me.id, groups, recovery)
         self._groups = groups
         self._coordinator = requests.Coordinator(
