Balance requests by what a host sees, ties by zone

Cause: idempotent requests had no choice of upstream, and a host sees only a sixth or seventh of the requests in flight, so power of two choices often compares 0 with 0.

Upstreams that shed rest for a doubling, jittered pause and come back by one request at a time.

Conclusion: the policy stays pluggable; LeastSeen is the proposal. Also moves the record of peers out of the exchange.

--- a/foxtailworks/placement/__init__.py
+++ b/foxtailworks/placement/__init__.py
@@ -11,6 +11,16 @@
     placer.on_packet(service, caller, now)
 """
 
+from foxtailworks.placement._balancer import Balancer
+from foxtailworks.placement._balancer import Candidate
+from foxtailworks.placement._balancer import LeastReported
+from foxtailworks.placement._balancer import LeastSeen
+from foxtailworks.placement._balancer import Outcome
+from foxtailworks.placement._balancer import Policy
+from foxtailworks.placement._balancer import PowerOfTwo
+from foxtailworks.placement._balancer import RandomChoice
+from foxtailworks.placement._balancer import RoundRobin
+from foxtailworks.placement._balancer import Seen
 from foxtailworks.placement._messages import Absent
 from foxtailworks.placement._messages import Digest
 from foxtailworks.placement._messages import DigestAck
@@ -36,6 +46,8 @@
     "MAX_HOPS",
     "MESSAGES",
     "Absent",
+    "Balancer",
+    "Candidate",
     "Decision",
     "Deliver",
     "Digest",
@@ -43,13 +55,21 @@
     "Fresh",
     "HostState",
     "HostView",
+    "LeastReported",
+    "LeastSeen",
     "Message",
+    "Outcome",
     "PlacementConfig",
     "Placer",
     "PlacerCounts",
+    "Policy",
+    "PowerOfTwo",
+    "RandomChoice",
     "Refuse",
     "RelayTo",
     "Resend",
+    "RoundRobin",
+    "Seen",
     "Send",
     "Synced",
     "UpstreamView",
--- a/foxtailworks/placement/_exchange.py
+++ b/foxtailworks/placement/_exchange.py
@@ -5,7 +5,6 @@
 """
 
 from collections import abc
-import dataclasses
 import functools
 import itertools
 import typing
@@ -16,24 +15,12 @@
 from foxtailworks.placement import _hashing
 from foxtailworks.placement import _hosts
 from foxtailworks.placement import _messages
+from foxtailworks.placement import _peers
 from foxtailworks.placement import _types
 from foxtailworks.placement import _upstreams
 
 DROP_AFTER_S = 10.0
 """Flows handed over are kept so long after the hosts changed."""
-HELLO_S = 1.0
-"""Time between two tries to greet a host."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Peer:
-    """Another entry host that told its epoch."""
-
-    epoch: int
-    started: float
-
-
-_UNMET = _Peer(0, float("-inf"))
 
 
 class Exchange:
@@ -66,9 +53,7 @@
         self._numbers = itertools.count(1)
         self._outgoing: dict[ids.HostId, _handover.Outgoing] = {}
         self._incoming = _handover.Incoming(cfg.max_held)
-        self._peers: dict[ids.HostId, _Peer] = {}
-        self._greeted: set[ids.HostId] = set()
-        self._hello_due = now
+        self._peers = _peers.Peers(ring, now)
         self._starting = True
         self._scan: abc.Iterator[None] | None = None
         self._scan_due = now
@@ -113,8 +98,9 @@
         goal = self._incoming.goal_of(host)
         if goal is not None and goal.hosts == self._ring.view_hash:
             return None
-        peer = self._peers.get(host, _UNMET)
-        return host if now - peer.started > self._cfg.ask_s else None
+        if self._peers.started_within(host, self._cfg.ask_s, now):
+            return None
+        return host
 
     def base_view(self, route: _hosts.Route) -> int:
         """Return the set of upstreams by which a dead owner placed."""
@@ -157,20 +143,17 @@
     def hosts_changed(self) -> None:
         """Forget what was told to hosts that are gone."""
         self._dirty = True
-        self._greeted.intersection_update(self._ring.peers())
+        self._peers.hosts_changed()
         gone = [h for h in self._outgoing if not self._ring.is_present(h)]
         for host in gone:
             del self._outgoing[host]
-        gone = [h for h in self._peers if not self._ring.is_known(h)]
-        for host in gone:
-            del self._peers[host]
 
     def _out(self, host: ids.HostId) -> _handover.Outgoing:
         """Return what is being told to ``host``."""
         out = self._outgoing.get(host)
         if out is None:
             out = _handover.Outgoing(self._epoch, self._numbers)
-            out.to_epoch = self._peers.get(host, _UNMET).epoch
+            out.to_epoch = self._peers.epoch(host)
             self._outgoing[host] = out
         return out
 
@@ -205,11 +188,8 @@
 
     def _greet(self, now: float) -> abc.Iterator[_types.Send]:
         """Tell the other hosts who this one is."""
-        if now < self._hello_due:
-            return
-        self._hello_due = now + HELLO_S
-        for host in self._ring.peers():
-            if host not in self._greeted and self._tokens > 0:
+        for host in self._peers.to_greet(now):
+            if self._tokens > 0:
                 yield self._hello(host, now)
 
     def _hello(self, host: ids.HostId, now: float) -> _types.Send:
@@ -277,15 +257,14 @@
         for mark, upstream, origin in self._incoming.items():
             route = self._ring.route(_hashing.slot_of_fingerprint(mark))
             target = self._table.target(route)
-            if target is None or (target == origin and not self._asks(origin)):
+            if target is None:
+                continue
+            if target == origin and not self._peers.started_within(
+                origin, self._ring.settle_s, self._now
+            ):
                 continue
             wanted.setdefault(target, {})[mark] = upstream
 
-    def _asks(self, host: ids.HostId) -> bool:
-        """Return whether ``host`` has started of late."""
-        peer = self._peers.get(host, _UNMET)
-        return self._now - peer.started <= self._ring.settle_s
-
     def _visit(
         self, key: int, wanted: dict[ids.HostId, _handover.Marks]
     ) -> None:
@@ -374,7 +353,7 @@
 
     def _ack(self, origin: ids.HostId, epoch: int, seq: int) -> _types.Send:
         """Acknowledge a message, which shows that its sender is met."""
-        self._greeted.add(origin)
+        self._peers.note_greeted(origin)
         return self._send(origin, _messages.DigestAck(epoch, (seq,)))
 
     @_handle.register
@@ -385,7 +364,7 @@
         if message.epoch != self._epoch:
             self.ignored += 1
         elif not message.seqs:
-            self._greeted.add(origin)
+            self._peers.note_greeted(origin)
         elif origin in self._outgoing:
             self._outgoing[origin].acknowledge(message.seqs)
         return iter(())
@@ -395,21 +374,18 @@
         self, message: _messages.Resend, origin: ids.HostId, now: float
     ) -> abc.Iterator[_types.Send]:
         """Send a host that has started all that it should know."""
-        known = self._peers.get(origin, _UNMET).epoch
+        known = self._peers.epoch(origin)
         if message.epoch < known or not self._ring.is_present(origin):
             self.ignored += 1
             return
         if message.epoch > known:
-            self._meet(origin, _Peer(message.epoch, now - message.age_s))
+            self._peers.meet(origin, message.epoch, now - message.age_s)
+            self._begin_anew(origin, message.epoch)
         yield self._send(origin, _messages.DigestAck(message.epoch, ()))
 
-    def _meet(self, origin: ids.HostId, peer: _Peer) -> None:
-        """Begin anew with a host that has started."""
-        self._peers[origin] = peer
-        self._greeted.discard(origin)
-        self._hello_due = self._now
-        self._ring.restarted(origin)
+    def _begin_anew(self, origin: ids.HostId, epoch: int) -> None:
+        """Tell a host that has started everything again."""
         out = self._out(origin)
-        out.to_epoch = peer.epoch
+        out.to_epoch = epoch
         out.restart()
         self._dirty = True
