Give operators foxtailctl

Operators drive the system only by editing contracts, so the tool must say of each edit what is true: accepted, refused, or not known.

Each edit carries an id. A try that was sent and brought no answer, or an answer to something else, may have been taken: the tool resends it under the same id to the same keeper or another, follows the leader that a keeper names, and ends with EDIT_UNKNOWN and the command that resends when time is up. A refusal is only final while no try may have been taken. Text from the network is stripped of what steers a terminal.

The test drives scripted keepers over the real catalogue (150 scripts of lost questions and answers, refusals, answers to others, rivals). Deliberate faults, each seen failing: forgetting that a try may have been taken (said NO_QUORUM, edit was applied), taking an answer to another edit id or question (said accepted, nothing applied), resending a change of keepers (156 sent for 1), printing text as it came. The fault of the edit id passed at first, as the stand-in had applied the edit before it answered wrongly; the stand-in now applies nothing then.

--- /dev/null
+++ b/foxtailworks/ctl/_exits.py
@@ -0,0 +1,63 @@
+"""Exit codes: a few groups of result codes, for scripts."""
+
+import enum
+
+from foxtailworks import errors
+
+_MEANINGS: dict[int, str] = {}
+
+
+class Exit(enum.IntEnum):
+    """What a script can tell without reading the output."""
+
+    def __new__(cls, value: int, meaning: str) -> "Exit":
+        """Keep the meaning beside the number."""
+        member = int.__new__(cls, value)
+        member._value_ = value
+        _MEANINGS[value] = meaning
+        return member
+
+    DONE = 0, "Done."
+    FAULT = 1, "A fault of the program itself; report it."
+    USAGE = 2, "The command line is wrong; see --help."
+    INVALID = 3, "Settings, a contract or an edit id is wrong; mend it."
+    CONFLICT = 4, "Another change came first; look and decide again."
+    MISSING = 5, "What was named doesn't exist."
+    UNKNOWN = 6, "Whether it was done isn't known; resend as told."
+    UNREACHED = 7, "Nothing was done: nobody could answer; try again."
+    PARTLY = 8, "Done, but not on all hosts; those are named."
+
+    @property
+    def meaning(self) -> str:
+        """What the number says, in one sentence."""
+        return _MEANINGS[self.value]
+
+
+_GROUPS: dict[errors.Code, Exit] = {
+    errors.Code.OK: Exit.DONE,
+    errors.Code.SETTINGS_INVALID: Exit.INVALID,
+    errors.Code.SETTINGS_UNREADABLE: Exit.INVALID,
+    errors.Code.CONTRACT_INVALID: Exit.INVALID,
+    errors.Code.EDIT_ID_REUSED: Exit.INVALID,
+    errors.Code.VERSION_CONFLICT: Exit.CONFLICT,
+    errors.Code.MEMBERSHIP_BUSY: Exit.CONFLICT,
+    errors.Code.MEMBERSHIP_REFUSED: Exit.CONFLICT,
+    errors.Code.CONTRACT_MISSING: Exit.MISSING,
+    errors.Code.VERSION_MISSING: Exit.MISSING,
+    errors.Code.NO_UPSTREAM: Exit.MISSING,
+    errors.Code.EDIT_UNKNOWN: Exit.UNKNOWN,
+    errors.Code.LINK_LOST: Exit.UNREACHED,
+    errors.Code.LINK_REFUSED: Exit.UNREACHED,
+    errors.Code.MESSAGE_MALFORMED: Exit.UNREACHED,
+    errors.Code.MESSAGE_TOO_LARGE: Exit.UNREACHED,
+    errors.Code.NOT_LEADER: Exit.UNREACHED,
+    errors.Code.NO_QUORUM: Exit.UNREACHED,
+    errors.Code.KEEPER_BUSY: Exit.UNREACHED,
+    errors.Code.NOT_IN_FORCE: Exit.PARTLY,
+    errors.Code.HOSTS_UNREACHED: Exit.PARTLY,
+}
+
+
+def exit_of(code: errors.Code) -> Exit:
+    """Return the exit code of a result code."""
+    return _GROUPS.get(code, Exit.FAULT)
--- /dev/null
+++ b/foxtailworks/ctl/_keeper.py
@@ -0,0 +1,145 @@
+"""``foxtailctl keeper``: who keeps the contract log."""
+
+import typing
+
+import typer
+
+from foxtailworks import contracts
+from foxtailworks.ctl import _session
+from foxtailworks import errors
+from foxtailworks import ids
+
+DEFAULT_WAIT_S = 60.0
+MAX_WAIT_S = 3600.0
+_ASK = 1
+_LEARN = "foxtailctl keeper list"
+
+app = typer.Typer(
+    no_args_is_help=True,
+    help="List, add, remove and replace keepers.",
+    rich_markup_mode=None,
+)
+
+Keeper = typing.Annotated[
+    str, typer.Argument(help="Identity, or a name that is unique.")
+]
+Address = typing.Annotated[
+    str, typer.Argument(help="ip:port where the new keeper listens.")
+]
+Wait = typing.Annotated[
+    float,
+    typer.Option(
+        "--wait",
+        min=1.0,
+        max=MAX_WAIT_S,
+        metavar="SECONDS",
+        help="How long the change may take.",
+    ),
+]
+
+
+@app.command("list")
+def list_all(ctx: typer.Context, as_json: _session.AsJson = False) -> None:
+    """List the keepers as the leader sees them.
+
+    \b
+    Examples:
+      foxtailctl keeper list
+    """
+
+    async def command(session: _session.Session) -> _session.Done:
+        question = contracts.ListKeepers(_ASK)
+        return _session.Done(
+            await session.keepers().query(question, contracts.KeeperList)
+        )
+
+    _session.run(ctx, command, as_json)
+
+
+@app.command("add")
+def add(
+    ctx: typer.Context,
+    address: Address,
+    wait_s: Wait = DEFAULT_WAIT_S,
+    as_json: _session.AsJson = False,
+) -> None:
+    """Let a keeper that was started with an empty disk learn, then vote.
+
+    \b
+    Examples:
+      foxtailctl keeper add 127.1.9.4:7400
+    """
+    _change(
+        ctx,
+        lambda: contracts.AddKeeper(_ASK, ids.Address.parse(address)),
+        wait_s,
+        as_json,
+    )
+
+
+@app.command("remove")
+def remove(
+    ctx: typer.Context,
+    keeper: Keeper,
+    wait_s: Wait = DEFAULT_WAIT_S,
+    as_json: _session.AsJson = False,
+) -> None:
+    """Take a keeper out of the group.
+
+    \b
+    Examples:
+      foxtailctl keeper remove k3
+    """
+    _change(
+        ctx,
+        lambda: contracts.RemoveKeeper(_ASK, ids.KeeperId(keeper)),
+        wait_s,
+        as_json,
+    )
+
+
+@app.command("replace")
+def replace(
+    ctx: typer.Context,
+    keeper: Keeper,
+    address: Address,
+    wait_s: Wait = DEFAULT_WAIT_S,
+    as_json: _session.AsJson = False,
+) -> None:
+    """Add a keeper; when it votes, remove another.
+
+    \b
+    Examples:
+      foxtailctl keeper replace k3 127.1.9.4:7400
+    """
+    _change(
+        ctx,
+        lambda: contracts.ReplaceKeeper(
+            _ASK, ids.KeeperId(keeper), ids.Address.parse(address)
+        ),
+        wait_s,
+        as_json,
+    )
+
+
+def _change(
+    ctx: typer.Context,
+    make: typing.Callable[[], object],
+    wait_s: float,
+    as_json: bool,
+) -> None:
+    """Ask for a change once; a lost answer isn't followed by a resend."""
+
+    async def command(session: _session.Session) -> _session.Done:
+        try:
+            return _session.Done(
+                await session.keepers().change(
+                    make(), contracts.KeeperChanged, wait_s
+                )
+            )
+        except errors.FoxtailError as exc:
+            if exc.code is errors.Code.EDIT_UNKNOWN:
+                exc.context["learn"] = _LEARN
+            raise
+
+    _session.run(ctx, command, as_json)
--- a/foxtailworks/errors/_codes.py
+++ b/foxtailworks/errors/_codes.py
@@ -52,6 +52,9 @@
     # 8000: membership and upstreams
     UPSTREAM_SUPERSEDED = 8001, "The address has a newer incarnation."
     ANNOUNCEMENT_INVALID = 8002, "An announcement is out of its bounds."
+    # 9000: operator's tool
+    NOT_IN_FORCE = 9001, "Accepted; some reachable hosts lack it so far."
+    HOSTS_UNREACHED = 9002, "Some hosts gave no answer; they are named."
 
 
 def describe(code: Code) -> str:
--- a/foxtailworks/observe/__init__.py
+++ b/foxtailworks/observe/__init__.py
@@ -9,6 +9,7 @@
 from foxtailworks.observe._histograms import Bucket
 from foxtailworks.observe._histograms import Histograms
 from foxtailworks.observe._histograms import HistogramSnapshot
+from foxtailworks.observe._histograms import MAX_SERIES
 from foxtailworks.observe._histograms import merge
 from foxtailworks.observe._histograms import OTHER
 from foxtailworks.observe._histograms import percentile
@@ -41,6 +42,7 @@
     "HOST_MESSAGES",
     "MAX_LINES",
     "MAX_PAGE",
+    "MAX_SERIES",
     "OTHER",
     "Bucket",
     "Counter",
