--- a/foxtailworks/errors/_codes.py
+++ b/foxtailworks/errors/_codes.py
@@ -52,6 +52,7 @@
     # 8000: membership and upstreams
     UPSTREAM_SUPERSEDED = 8001, "The address has a newer incarnation."
     ANNOUNCEMENT_INVALID = 8002, "An announcement is out of its bounds."
+    HOST_INVALID = 8003, "A claim on a host is out of its bounds."
     # 9000: operator's tool
     NOT_IN_FORCE = 9001, "Accepted; some reachable hosts lack it so far."
     HOSTS_UNREACHED = 9002, "Some hosts gave no answer; they are named."
