Run the whole path in separate processes, with the keepers' program

Cause: the thin whole path. Change: foxtail-keeper (node, links between keepers, subscriptions of entry hosts, operators' questions), the operator link of entry hosts, requests balanced by what a host sees itself, the demo drains, adds, stops a host and edits the contract.

--- a/foxtailworks/entry/_choice.py
+++ b/foxtailworks/entry/_choice.py
@@ -8,9 +8,27 @@
 
 from foxtailworks.entry import _services
 from foxtailworks import ids
+from foxtailworks import placement
 from foxtailworks import upstreams
 
 
+_OUTCOMES = {
+    placement.Outcome.ANSWERED: upstreams.Outcome.ANSWERED,
+    placement.Outcome.SHED: upstreams.Outcome.SHED,
+    placement.Outcome.SILENT: upstreams.Outcome.SILENT,
+}
+
+
+def _as_candidate(item: upstreams.Candidate) -> placement.Candidate:
+    """Return a candidate in the form of the balancer."""
+    return placement.Candidate(
+        upstream=item.id,
+        zone=item.upstream.zone,
+        slots=item.upstream.slots,
+        weight=item.weight / item.upstream.slots,
+    )
+
+
 class Choice:
     """Chooses among the candidates of a service."""
 
@@ -18,9 +36,12 @@
         self,
         directory: upstreams.Directory,
         services: _services.ServiceIndex,
+        zone: ids.ZoneId,
         rng: random.Random,
         clock: abc.Callable[[], float],
     ) -> None:
+        self._policy = placement.LeastSeen(zone)
+        self._balancer = placement.Balancer(self._policy)
         self._directory = directory
         self._services = services
         self._rng = rng
@@ -42,16 +63,40 @@
         service: ids.ServiceId,
         excluded: typing.Collection[ids.UpstreamId],
     ) -> ids.UpstreamId | None:
-        """Return an upstream by weight, none of ``excluded``."""
+        """Return the upstream for one request, none of ``excluded``."""
         found = [
-            item
+            _as_candidate(item)
             for item in self._candidates(service)
             if item.id not in excluded
         ]
-        if not found:
-            return None
-        weights = [item.weight for item in found]
-        return self._rng.choices(found, weights)[0].id
+        chosen = self._balancer.choose(found, self._clock(), self._rng)
+        return chosen.upstream if chosen is not None else None
+
+    def set_hosts(
+        self, me: ids.HostId, hosts: abc.Iterable[placement.HostView]
+    ) -> None:
+        """Take in the live hosts."""
+        self._policy.set_hosts(me, hosts)
+
+    def in_flight(self, upstream: ids.UpstreamId) -> int:
+        """Return the requests of this host that an upstream has."""
+        return self._balancer.seen(upstream).in_flight
+
+    def on_sent(self, upstream: ids.UpstreamId) -> None:
+        """Note a request that went out."""
+        self._directory.on_placed(upstream, self._clock())
+        self._balancer.on_sent(upstream)
+
+    def on_ended(
+        self,
+        upstream: ids.UpstreamId,
+        outcome: placement.Outcome,
+        latency_ms: float,
+    ) -> None:
+        """Note how a request that went out ended."""
+        now = self._clock()
+        self._directory.observe(upstream, _OUTCOMES[outcome], latency_ms, now)
+        self._balancer.on_ended(upstream, outcome, now, self._rng)
 
     def by_hash(
         self, service: ids.ServiceId, digest: int
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -11,12 +11,14 @@
 from foxtailworks.entry import _fabric
 from foxtailworks.entry import _flows
 from foxtailworks.entry import _keepers
+from foxtailworks.entry import _operators
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _registrations
 from foxtailworks.entry import _requests
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks import links
 from foxtailworks import membership
 from foxtailworks import observe
 from foxtailworks import placement
@@ -79,6 +81,9 @@
             rng,
             clock,
         )
+        self._operators = _operators.Operators(
+            self.cores, self.requests, metrics, self.perform, clock
+        )
         self._registrations = _registrations.Registrations(
             self.cores.directory, metrics, self.perform, clock
         )
@@ -228,6 +233,7 @@
         )
         if update.roster is not None:
             self.requests.set_roster(update.roster, now)
+        self._operators.on_version(now)
         _EVENTS.info(
             "version_in_force",
             version=view.version,
@@ -262,6 +268,15 @@
             self.requests.exchanges.port = await hold(
                 udp.open_port(own, 0, self.requests.exchanges.take)
             )
+            await hold(
+                links.serve(
+                    cfg.operator_address,
+                    _operators.CODEC,
+                    self._operators.serve,
+                    cfg.tls,
+                    self._metrics,
+                )
+            )
             tasks = [
                 asyncio.ensure_future(self._tick()),
                 asyncio.ensure_future(self.subscription.run()),
@@ -296,6 +311,7 @@
     async def leave(self) -> None:
         """Stop taking new work, hand over, and finish what is under way."""
         start = self._clock()
+        self._operators.leaving = True
         self._fabric.withdraw()
         self.requests.leave()
         self.cores.placer.leave(start)
--- a/foxtailworks/entry/_idempotent.py
+++ b/foxtailworks/entry/_idempotent.py
@@ -47,6 +47,7 @@
         self._serial += 1
         token = b"i" + self._serial.to_bytes(TOKEN_BYTES - 1, "big")
         remaining_ms = call.remaining_ms(now)
+        self._choice.on_sent(upstream.id)
         self._exchanges.send(
             token,
             upstream.address,
@@ -68,11 +69,7 @@
     ) -> None:
         """Pass the upstream's answer to the caller."""
         now = self._clock()
-        outcome = (
-            upstreams.Outcome.SHED
-            if answer.shed
-            else upstreams.Outcome.ANSWERED
-        )
         latency_ms = (now - sent_at) * 1000
-        self._directory.observe(upstream, outcome, latency_ms, now)
+        outcome = _replies.outcome_of(answer)
+        self._choice.on_ended(upstream, outcome, latency_ms)
         self._replies.answered(call, answer)
--- a/foxtailworks/entry/_keyed.py
+++ b/foxtailworks/entry/_keyed.py
@@ -7,6 +7,7 @@
 import typing
 
 from foxtailworks import coap
+from foxtailworks.entry import _choice
 from foxtailworks.entry import _exchanges
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _replies
@@ -31,6 +32,7 @@
         coordinator: requests.Coordinator,
         views: _views.Views,
         directory: upstreams.Directory,
+        choice: _choice.Choice,
         exchanges: _exchanges.Exchanges,
         peers: _peers.Peers,
         replies: _replies.Replies,
@@ -39,6 +41,7 @@
         self._coordinator = coordinator
         self._views = views
         self._directory = directory
+        self._choice = choice
         self._exchanges = exchanges
         self._peers = peers
         self._replies = replies
@@ -101,7 +104,7 @@
             return
         now = self._clock()
         token = _token(action.claim)
-        self._directory.on_placed(action.upstream, now)
+        self._choice.on_sent(action.upstream)
         self._exchanges.send(
             token,
             upstream.address,
@@ -130,12 +133,8 @@
         """Take the upstream's answer to a placement."""
         now = self._clock()
         latency_ms = (now - sent_at) * 1000
-        outcome = (
-            upstreams.Outcome.SHED
-            if answer.shed
-            else upstreams.Outcome.ANSWERED
-        )
-        self._directory.observe(action.upstream, outcome, latency_ms, now)
+        outcome = _replies.outcome_of(answer)
+        self._choice.on_ended(action.upstream, outcome, latency_ms)
         if answer.shed:
             self.perform(
                 self._coordinator.shed(
--- a/foxtailworks/entry/_replies.py
+++ b/foxtailworks/entry/_replies.py
@@ -9,6 +9,7 @@
 from foxtailworks.entry import _fabric
 from foxtailworks.entry import _services
 from foxtailworks import observe
+from foxtailworks import placement
 from foxtailworks import proxyv2
 
 RETRY_MIN_S = 1.0
@@ -38,6 +39,13 @@
         return int((self.deadline - now) * 1000)
 
 
+def outcome_of(answer: coap.UpstreamAnswer) -> placement.Outcome:
+    """Return how a request ended, by its answer."""
+    if answer.shed:
+        return placement.Outcome.SHED
+    return placement.Outcome.ANSWERED
+
+
 class Replies:
     """Answers calls through the fabric."""
 
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -17,6 +17,7 @@
 from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks import observe
+from foxtailworks import placement
 from foxtailworks import proxyv2
 from foxtailworks import requests
 
@@ -53,7 +54,10 @@
         self._replies = _replies.Replies(
             fabric, metrics, self.histograms, rng, clock
         )
-        self._choice = _choice.Choice(cores.directory, services, rng, clock)
+        zone = cores.members.me.zone
+        self._choice = _choice.Choice(
+            cores.directory, services, zone, rng, clock
+        )
         self._idempotent = _idempotent.IdempotentPath(
             self._choice,
             cores.directory,
@@ -61,6 +65,7 @@
             self._replies,
             clock,
         )
+        self.in_flight = self._choice.in_flight
         self._groups: requests.KeyGroups | None = None
         self._coordinator: requests.Coordinator | None = None
         self._keyed: _keyed.KeyedPath | None = None
@@ -95,6 +100,7 @@
             self._coordinator,
             self._cores.views,
             self._cores.directory,
+            self._choice,
             self.exchanges,
             self._peers,
             self._replies,
@@ -104,10 +110,11 @@
 
     def set_alive(self) -> None:
         """Take in which hosts are held to be live."""
+        live = self._cores.members.live()
+        views = (placement.HostView(item.id, item.zone) for item in live)
+        self._choice.set_hosts(self._cores.members.me.id, views)
         if self._coordinator is not None:
-            self._coordinator.set_alive(
-                [item.id for item in self._cores.members.live()]
-            )
+            self._coordinator.set_alive([item.id for item in live])
 
     def upstream_gone(self, upstream: ids.UpstreamId) -> None:
         """Give up on what was placed on an upstream that has ended."""
--- a/foxtailworks/errors/_codes.py
+++ b/foxtailworks/errors/_codes.py
@@ -37,6 +37,7 @@
     JOURNAL_DAMAGED = 4001, "The log on disk is damaged in its middle."
     JOURNAL_UNWRITABLE = 4002, "The disk refused a write or a sync."
     NO_QUORUM = 4003, "A majority of keepers can't be reached."
+    KEEPER_MISSING = 4009, "No such keeper, or it doesn't answer."
     KEEPER_BUSY = 4004, "Too much waits for a majority; try again later."
     MEMBERSHIP_BUSY = 4005, "Another change of keepers is under way."
     MEMBERSHIP_REFUSED = 4006, "This change of keepers isn't safe now."
--- /dev/null
+++ b/foxtailworks/keeper/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m foxtailworks.keeper``."""
+
+from foxtailworks import keeper
+
+keeper.main()
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -144,7 +144,8 @@
 for n in 1 2; do upstream letter-vault $n request --slots 2 --body-bytes 5000; done
 for name in "${!PID[@]}"; do await "$name"; done
 
-ctl contract put "$RUN/settings/balans.json" --base 0 --wait-in-force 10
+ctl contract put "$RUN/settings/balans.json" --base 0 --wait-in-force 10 --json >"$RUN/put.json"
+VERSION=$("$PY" -c 'import json, sys; print(json.load(sys.stdin)["version"])' <"$RUN/put.json")
 sleep 3
 
 CALLS=()
@@ -169,7 +170,7 @@
 kill -TERM "${PID[entry-2]}"
 sleep 2
 echo "# the contract is edited"
-ctl contract put "$RUN/settings/balans-edited.json" --wait-in-force 10
+ctl contract put "$RUN/settings/balans-edited.json" --base "$VERSION" --wait-in-force 10
 
 for name in "${CALLS[@]}"; do
   wait "${PID[$name]}" || echo "$name ended with an error" >&2
