--- a/foxtailworks/membership/_core.py
+++ b/foxtailworks/membership/_core.py
@@ -251,6 +251,7 @@
         if self._leaving:
             return iter(())
         self._leaving = True
+        self._zones.leave()
         self._claims.me = self._claims.me.with_changes(state=_State.LEFT)
         actions = list(self._claims.claim(self._claims.me, now))
         actions += self._news.farewell()
--- a/foxtailworks/membership/_replica.py
+++ b/foxtailworks/membership/_replica.py
@@ -111,8 +111,10 @@
     """What is still to be passed on."""
     hashes: BucketHashes
     """Hashes of the live records."""
-    changed_at: float
-    """Time of the last change."""
+
+    @property
+    def changed_at(self) -> float:
+        """Time of the last change."""
 
     def decode(self, item: bytes) -> object:
         """Return the record in ``item``.
--- a/foxtailworks/membership/_zones.py
+++ b/foxtailworks/membership/_zones.py
@@ -64,6 +64,7 @@
         self._contacts: dict[ids.ZoneId, _Contact] = {}
         self._queue = _replica.Queue()
         self._sequence = 0
+        self._leaving = False
         self.cut: frozenset[ids.ZoneId] = frozenset()
         self.rumours = self._queue.rumours
         self.hashes = _replica.BucketHashes()
@@ -73,10 +74,19 @@
         """Return the relays of ``zone``."""
         return choose_relays(self._hosts.live_in(zone), self._cfg.relays)
 
+    def leave(self) -> None:
+        """Watch other zones by oneself: news no longer comes here."""
+        self._leaving = True
+
     def is_relay(self) -> bool:
-        """Tell whether this host is a relay of its zone."""
-        ids_ = (host.id for host in self.relays(self._me.zone))
-        return self._me.id in ids_
+        """Tell whether this host speaks with other zones."""
+        return self._me.id in self._reporters()
+
+    def _reporters(self) -> set[ids.HostId]:
+        """Return the hosts whose reports count here."""
+        if self._leaving:
+            return {self._me.id}
+        return {host.id for host in self.relays(self._me.zone)}
 
     def note_asked(self, zone: ids.ZoneId, now: float) -> None:
         """Count a probe that went to another zone."""
@@ -151,7 +161,7 @@
 
     def _judge(self, now: float) -> list[object]:
         """Work out which zones are cut off; tell the changes."""
-        relays = {host.id for host in self.relays(self._me.zone)}
+        relays = self._reporters()
         down: collections.Counter[ids.ZoneId] = collections.Counter(
             zone
             for (reporter, zone), report in self._reports.items()
--- a/foxtailworks/upstreams/_candidates.py
+++ b/foxtailworks/upstreams/_candidates.py
@@ -44,6 +44,7 @@
         self._cached: dict[_record.ServiceKey, _Cached] = {}
         self._health: dict[ids.UpstreamId, _health.Health] = {}
         self.version = 0
+        self.records_version = 0
 
     def health(self, upstream_id: ids.UpstreamId) -> _health.Health | None:
         """Return what was seen of an upstream."""
@@ -66,11 +67,13 @@
         """Compute the candidates of a service anew when they're asked for."""
         self._cached.pop(key, None)
         self.version += 1
+        self.records_version += 1
 
     def invalidate_all(self) -> None:
         """Compute all candidates anew when they're asked for."""
         self._cached.clear()
         self.version += 1
+        self.records_version += 1
 
     def cached(
         self, key: _record.ServiceKey, now: float
--- a/foxtailworks/upstreams/_directory.py
+++ b/foxtailworks/upstreams/_directory.py
@@ -100,6 +100,13 @@
         """Return a number that changes whenever candidates do."""
         return self._candidates.version
 
+    def records_version(self) -> int:
+        """Return a number that weights alone don't change.
+
+        It changes with records, health states and cuts.
+        """
+        return self._candidates.records_version
+
     def on_placed(self, upstream_id: ids.UpstreamId, now: float) -> None:
         """Count new work: one that returns from back-off gets little."""
         health = self._candidates.health(upstream_id)
