--- a/foxtailworks/membership/_claims.py
+++ b/foxtailworks/membership/_claims.py
@@ -39,6 +39,8 @@
         self.is_relay = True
         self.malformed = 0
         self._started_at = now
+        # Claims on earlier processes of this host don't concern this one.
+        self._held_dead = me.incarnation - 1
         self._hosts = hosts
         self._zones = zones
         self._detector = detector
@@ -133,18 +135,29 @@
 
     def _refute(self, claim: _host.Host, now: float) -> abc.Iterator[object]:
         """End a claim on this host that isn't its own."""
-        is_older = claim.incarnation < self.me.incarnation
-        if is_older or claim == self.me or self.me.supersedes(claim):
-            return
         if claim.incarnation >= _host.MAX_INCARNATION:
             self.malformed += 1
             return
-        incarnation = ids.Incarnation(claim.incarnation + 1)
-        self.me = self.me.with_changes(incarnation=incarnation)
-        yield from self.claim(self.me, now)
-        if not claim.is_live and self.me.is_live:
-            held_dead = _events.HeldDead(claim, incarnation)
-            yield from self.tell((held_dead,), now)
+        is_older = claim.incarnation < self.me.incarnation
+        if not (is_older or claim == self.me or self.me.supersedes(claim)):
+            incarnation = ids.Incarnation(claim.incarnation + 1)
+            self.me = self.me.with_changes(incarnation=incarnation)
+            yield from self.claim(self.me, now)
+        yield from self._note_held_dead(claim, now)
+
+    def _note_held_dead(
+        self, claim: _host.Host, now: float
+    ) -> abc.Iterator[object]:
+        """Tell once that others hold or held this process dead.
+
+        The claim may come when an earlier doubt was refuted already.
+        """
+        is_told = claim.incarnation <= self._held_dead
+        if claim.is_live or not self.me.is_live or is_told:
+            return
+        self._held_dead = claim.incarnation
+        event = _events.HeldDead(claim, self.me.incarnation)
+        yield from self.tell((event,), now)
 
     def tell(
         self, events: abc.Iterable[object], now: float
--- a/foxtailworks/upstreams/_directory.py
+++ b/foxtailworks/upstreams/_directory.py
@@ -180,7 +180,7 @@
         """End an incarnation that two services claim; refuse the other."""
         events: abc.Iterator[object] = iter(())
         if announcement.incarnation == old.incarnation:
-            events = self._change(old.with_changes(state=_State.ENDED), now)
+            events = self._change(self._first(announcement), now)
         return itertools.chain(
             events, self._refuse_superseded(announcement, old)
         )
--- a/foxtailworks/upstreams/_record.py
+++ b/foxtailworks/upstreams/_record.py
@@ -12,6 +12,8 @@
 MAX_WEIGHT = 1_000.0
 MIN_LIFETIME_S = 1.0
 MAX_LIFETIME_S = 3_600.0
+MAX_SEQUENCE = 1 << 40
+NO_HOLDER = ids.HostId("")
 
 
 class UpstreamState(enum.Enum):
@@ -131,6 +133,13 @@
     def __post_init__(self) -> None:
         """Refuse values out of bounds."""
         _check(self)
+        is_bounded = 0 < self.sequence <= MAX_SEQUENCE
+        if not is_bounded or len(self.holder) > MAX_NAME:
+            raise errors.FoxtailError(
+                errors.Code.ANNOUNCEMENT_INVALID,
+                "record out of bounds",
+                address=self.address,
+            )
 
     @property
     def id(self) -> ids.UpstreamId:
@@ -179,12 +188,15 @@
     get a packet, so the incarnation ends.
     """
     winner = max(old, new, key=Upstream.order)
-    is_clash = old.incarnation == new.incarnation and old.key != new.key
-    if is_clash and winner.state is not UpstreamState.ENDED:
-        key = min(old.key, new.key)
-        return winner.with_changes(
-            state=UpstreamState.ENDED,
-            customer=key.customer,
-            service=key.service,
-        )
-    return winner
+    if old.incarnation != new.incarnation or old.key == new.key:
+        return winner
+    key = max(old.key, new.key)
+    # The same for any order in which hosts meet the records.
+    return winner.with_changes(
+        customer=key.customer,
+        service=key.service,
+        state=UpstreamState.ENDED,
+        expired=False,
+        sequence=MAX_SEQUENCE,
+        holder=NO_HOLDER,
+    )
