--- a/foxtailworks/placement/_exchange.py
+++ b/foxtailworks/placement/_exchange.py
@@ -18,7 +18,10 @@
 from foxtailworks.placement import _peers
 from foxtailworks.placement import _types
 from foxtailworks.placement import _upstreams
+from foxtailworks.placement import _walk
 
+FROZEN_S = 3.0
+"""A host whose timer stood still for so long asks what it missed."""
 DROP_AFTER_S = 10.0
 """Flows handed over are kept so long after the hosts changed."""
 
@@ -49,10 +52,10 @@
         self._ring = ring
         self._book = book
         self._table = table
-        self._idle: dict[ids.ServiceId, float] = {}
         self._numbers = itertools.count(1)
         self._outgoing: dict[ids.HostId, _handover.Outgoing] = {}
         self._incoming = _handover.Incoming(cfg.max_held)
+        self._walk = _walk.Walk(cfg, ring, table)
         self._peers = _peers.Peers(ring, now)
         self._starting = True
         self._scan: abc.Iterator[None] | None = None
@@ -98,9 +101,11 @@
         goal = self._incoming.goal_of(host)
         if goal is not None and goal.hosts == self._ring.view_hash:
             return None
-        if self._peers.started_within(host, self._cfg.ask_s, now):
-            return None
-        return host
+        return None if self.is_starting(host, now) else host
+
+    def is_starting(self, host: ids.HostId, now: float) -> bool:
+        """Return whether ``host`` doesn't know yet what others know."""
+        return self._peers.started_within(host, self._cfg.ask_s, now)
 
     def base_view(self, route: _hosts.Route) -> int:
         """Return the set of upstreams by which a dead owner placed."""
@@ -134,7 +139,7 @@
         self, idle_s: typing.Mapping[ids.ServiceId, float]
     ) -> None:
         """Take in the idle time of each service's flows."""
-        self._idle = dict(idle_s)
+        self._walk.set_idle_times(idle_s)
 
     def tables_changed(self) -> None:
         """Look through all flows for new exceptions."""
@@ -159,13 +164,18 @@
 
     # Time.
 
-    def tick(self, now: float) -> abc.Iterator[_types.Send]:
+    def on_tick(self, now: float) -> abc.Iterator[_types.Send]:
         """Yield the control messages that the budget allows now."""
         budget = self._cfg.control_bytes_per_s * (now - self._now)
         self._tokens = min(
             self._tokens + budget, self._cfg.control_burst_bytes
         )
+        if now - self._now > FROZEN_S:
+            self._ring.awoke(now)
+            self._incoming.forget_goals()
+            self._dirty = True
         self._now = now
+        self._walk.now = now
         if self._ring.tick(now):
             self._dirty = True
         self._check_start(now)
@@ -226,33 +236,27 @@
         self.sent_bytes += size
         return _types.Send(host, message)
 
-    # The walk over all flows.
-
     def _run_scan(self, now: float) -> None:
         """Go on with the walk over all flows, or begin the next."""
         if self._scan is None and (self._dirty or now >= self._scan_due):
             self._dirty = False
             self._scan_due = now + self._cfg.refresh_s
-            self._scan = self._walk()
+            self._scan = self._gather()
         if self._scan is not None:
             self._scan = None if next(self._scan, self) else self._scan
 
-    def _walk(self) -> abc.Iterator[None]:
-        """Drop ended flows and gather the exceptions of all others."""
-        wanted: dict[ids.HostId, _handover.Marks] = {}
+    def _gather(self) -> abc.Iterator[None]:
+        """Have every other host told what it should know."""
+        wanted: _walk.Wanted = {}
         goal = self._goal()
         peers = self._ring.peers()
         self._incoming.sweep(peers, self._ring.settle_s, self._now)
         self._gather_held(wanted)
-        keys = list(self._table.flows)
-        for start in range(0, len(keys), self._cfg.scan_per_tick):
-            for key in keys[start : start + self._cfg.scan_per_tick]:
-                self._visit(key, wanted)
-            yield
+        yield from self._walk.run(wanted, self._is_handed_over)
         for host in self._ring.peers():
             self._out(host).set_all(wanted.get(host, {}), goal)
 
-    def _gather_held(self, wanted: dict[ids.HostId, _handover.Marks]) -> None:
+    def _gather_held(self, wanted: _walk.Wanted) -> None:
         """Pass on what dead or restarted hosts had told."""
         for mark, upstream, origin in self._incoming.items():
             route = self._ring.route(_hashing.slot_of_fingerprint(mark))
@@ -265,32 +269,6 @@
                 continue
             wanted.setdefault(target, {})[mark] = upstream
 
-    def _visit(
-        self, key: int, wanted: dict[ids.HostId, _handover.Marks]
-    ) -> None:
-        """Look at one flow during a walk."""
-        flows = self._table.flows
-        flow = flows.get(key)
-        if flow is None:
-            return
-        route = self._ring.route(_hashing.host_slot(key))
-        if self._is_over(flow) or self._is_handed_over(route.owner):
-            del flows[key]
-            return
-        target = self._table.target(route)
-        if target is None:
-            return
-        if self._table.is_exception(key, flow.upstream, route):
-            mark = _hashing.fingerprint(key)
-            upstream = flow.upstream.view.upstream
-            wanted.setdefault(target, {})[mark] = upstream
-
-    def _is_over(self, flow: _flows.Flow) -> bool:
-        """Return whether a flow had no packet for its idle time."""
-        service = flow.upstream.view.service
-        idle_s = self._idle.get(service, self._cfg.flow_idle_s)
-        return self._now - flow.seen > idle_s
-
     def _is_handed_over(self, owner: ids.HostId | None) -> bool:
         """Return whether another owner knows all that this host knows."""
         if owner is None or owner == self._me:
--- a/foxtailworks/placement/_flows.py
+++ b/foxtailworks/placement/_flows.py
@@ -14,8 +14,10 @@
 
     upstream: _upstreams.Upstream
     """Where it stands."""
-    seen: float
-    """When its last packet came."""
+    heard: float
+    """When the caller's last packet came."""
+    answered: float = float("-inf")
+    """When the upstream's last packet came."""
 
 
 class FlowTable:
--- a/foxtailworks/placement/_handover.py
+++ b/foxtailworks/placement/_handover.py
@@ -225,6 +225,11 @@
         known = self._origins.get(origin)
         return known.goal if known else None
 
+    def forget_goals(self) -> None:
+        """Take no host for synced any more."""
+        for known in self._origins.values():
+            known.goal = None
+
     def take_digest(self, origin: ids.HostId, msg: _messages.Digest) -> bool:
         """Keep the exceptions in ``msg``.
 
--- a/foxtailworks/placement/_hosts.py
+++ b/foxtailworks/placement/_hosts.py
@@ -87,6 +87,8 @@
         """When the live or leaving hosts last changed."""
         self.shares: tuple[tuple[ids.ZoneId, float], ...] = ()
         """Share of the flows that the table of each zone places."""
+        self.doubt_before = float("-inf")
+        """A flow last heard before may stand elsewhere after a cut."""
         own = _types.HostView(me, zone)
         self.set_hosts((own,), now)
 
@@ -123,8 +125,18 @@
             return
         if member.state is None:
             member.returned_at = now
+            buried_at = member.until - self.settle_s
+            self.doubt_before = max(self.doubt_before, buried_at)
         member.state = view.state
 
+    def awoke(self, now: float) -> None:
+        """Note that this host stood still: others may own its slots."""
+        for member in self._present():
+            member.returned_at = now
+        self.changed_at = now
+        self.doubt_before = now
+        self._routes = [None] * _hashing.HOST_SLOTS
+
     def restarted(self, host: ids.HostId) -> None:
         """Note that ``host`` has started empty: it knows of no flow."""
         member = self._members.get(host)
@@ -142,7 +154,7 @@
         """Note a death; a host that wasn't settled placed by others."""
         member.state = None
         settled = member.settles <= now
-        member.until = now + self.settle_s if settled else now
+        member.until = now + (self.settle_s if settled else 0.0)
 
     def _forget(self, now: float) -> None:
         """Drop dead hosts whose time is over, and the oldest beyond cap."""
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -126,8 +126,12 @@
         flow = self._flows.get(key)
         if flow is not None:
             upstream = flow.upstream
-            if upstream.alive and upstream.view.service == service:
-                flow.seen = now
+            if (
+                upstream.alive
+                and flow.heard >= self._ring.doubt_before
+                and upstream.view.service == service
+            ):
+                flow.heard = now
                 return upstream.decision
         return self._decide(service, key, now, relayed_from, hops)
 
@@ -137,7 +141,7 @@
         """Note a packet of the upstream to the caller."""
         flow = self._flows.get(_hashing.flow_key(service, caller))
         if flow is not None:
-            flow.seen = now
+            flow.answered = now
 
     def _decide(
         self,
@@ -147,23 +151,49 @@
         relayed_from: ids.HostId | None,
         hops: int,
     ) -> _types.Decision:
-        """Decide for a flow that isn't in the table or lost its upstream."""
-        again = self._rebind(service, key, now)
-        if again is not None:
-            return again
+        """Decide for a flow that isn't in the table or is in doubt."""
         route = self._ring.route(_hashing.host_slot(key))
-        to = route.owner
-        if to == self._me:
-            to = self._exchange.whom_to_ask(route, now)
-        if to is not None and to != relayed_from and hops < MAX_HOPS:
+        known = self._known(service, key)
+        to = self._next_hop(key, route, known, relayed_from, now)
+        if to is not None and hops < MAX_HOPS:
             self.counts.relayed += 1
             return _types.RelayTo(to, hops + 1)
-        return self._place(service, key, route, now)
+        if known is None:
+            return self._place(service, key, route, now)
+        told = self._told(service, key)
+        if told is not None and known.heard < self._ring.doubt_before:
+            known.upstream = told
+        known.heard = now
+        return known.upstream.decision
+
+    def _next_hop(
+        self,
+        key: int,
+        route: _hosts.Route,
+        known: _flows.Flow | None,
+        relayed_from: ids.HostId | None,
+        now: float,
+    ) -> ids.HostId | None:
+        """Return the host to pass a packet to, None to keep it."""
+        owner = route.owner
+        if owner == self._me:
+            ask = self._exchange.whom_to_ask(route, now)
+            return ask if ask != relayed_from else None
+        if known is not None or owner is None:
+            return None
+        if owner != relayed_from:
+            return owner
+        # The owner asks what is known here of the flow.
+        is_told = self._exchange.lookup(key) is not None
+        if is_told or self._exchange.is_starting(owner, now):
+            return None
+        return owner
 
-    def _rebind(
-        self, service: ids.ServiceId, key: int, now: float
-    ) -> _types.Deliver | None:
-        """Keep a flow whose upstream was held dead and is back."""
+    def _known(self, service: ids.ServiceId, key: int) -> _flows.Flow | None:
+        """Return the flow in the table, if its upstream is alive.
+
+        An upstream may have been held dead and be back.
+        """
         flow = self._flows.get(key)
         if flow is None or flow.upstream.view.service != service:
             return None
@@ -173,8 +203,17 @@
             self.counts.replaced += 1
             return None
         flow.upstream = upstream
-        flow.seen = now
-        return upstream.decision
+        return flow
+
+    def _told(
+        self, service: ids.ServiceId, key: int
+    ) -> _upstreams.Upstream | None:
+        """Return where another host said that a flow stands."""
+        told = self._exchange.lookup(key)
+        upstream = self._book.get(told) if told is not None else None
+        if upstream is None or upstream.view.service != service:
+            return None
+        return upstream
 
     def _place(
         self,
@@ -210,9 +249,8 @@
         now: float,
     ) -> _upstreams.Upstream | None:
         """Return where a flow stands that this host doesn't know."""
-        told = self._exchange.lookup(key)
-        upstream = self._book.get(told) if told is not None else None
-        if upstream is not None and upstream.view.service == service:
+        upstream = self._told(service, key)
+        if upstream is not None:
             return upstream
         placed_by = self._exchange.base_view(route)
         current = self._book.view_hash
@@ -255,12 +293,12 @@
 
     # Control messages.
 
-    def tick(self, now: float) -> abc.Iterator[_types.Send]:
+    def on_tick(self, now: float) -> abc.Iterator[_types.Send]:
         """Yield the control messages that the budget allows now.
 
         To be called several times a second.
         """
-        return self._exchange.tick(now)
+        return self._exchange.on_tick(now)
 
     def on_message(
         self, origin: ids.HostId, message: typing.Any, now: float
