Show hosts that leave as leaving; end on a task's fault

Cause: of the flows broken after a graceful stop, other hosts took the leaving host for dead at once and it stopped before its exceptions were handed over. Ruled out: lost packets (every datagram was answered). Change: a host that has said that it leaves stays in the placer's view as leaving for 15 s, and it stops only when the placer has handed over. A trial with a renamed method showed the tick ending unseen and all flows unanswered: a task's fault now ends the program, and a callback's is logged.

--- a/foxtailworks/entry/_cli.py
+++ b/foxtailworks/entry/_cli.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+import traceback
 import typing
 
 import typer
@@ -70,6 +71,7 @@
 async def _serve(cfg: settings.EntrySettings) -> None:
     """Serve until told to stop."""
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_log_fault)
     stop = asyncio.Event()
 
     def on_signal() -> None:
@@ -85,9 +87,25 @@
         cfg.statsd, f"foxtail.entry.{cfg.host}"
     ) as metrics:
         host = _host.EntryHost(cfg, incarnation, rng, metrics, loop.time)
-        async with host.opened():
+        async with host.opened(stop):
             _EVENTS.info("ready", host=cfg.host, zone=cfg.zone)
             await stop.wait()
+            if host.failed is not None:
+                raise host.failed
             _EVENTS.info("leaving", host=cfg.host)
             await host.leave()
     _EVENTS.info("stopped", host=cfg.host)
+
+
+def _log_fault(
+    loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
+) -> None:
+    """Log what a callback raised; the program goes on."""
+    exc = context.get("exception")
+    _EVENTS.error(
+        "fault",
+        code=errors.Code.INTERNAL.value,
+        what=context["message"],
+        reason=repr(exc),
+        at=traceback.format_exception(exc)[-2:] if exc else "",
+    )
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -31,7 +31,7 @@
 TICK_S = 0.05
 DRAIN_STEP_S = 0.05
 LEAVE_MIN_S = 2.0
-LEAVE_MAX_S = 15.0
+LEAVE_MAX_S = 14.0
 
 _EVENTS = observe.Events("entry")
 
@@ -55,6 +55,7 @@
         self._cfg = cfg
         self._clock = clock
         self._metrics = metrics
+        self.failed: BaseException | None = None
         self.services = _services.ServiceIndex()
         self.cores = _cores.Cores(cfg, incarnation, rng, clock())
         self._peers = _peers.Peers(
@@ -244,8 +245,8 @@
     # Life.
 
     @contextlib.asynccontextmanager
-    async def opened(self) -> abc.AsyncIterator[None]:
-        """Hold all sockets and run the tasks."""
+    async def opened(self, stop: asyncio.Event) -> abc.AsyncIterator[None]:
+        """Hold all sockets and run the tasks; a fault of one sets ``stop``."""
         cfg = self._cfg
         own = cfg.peer_address.ip
         async with contextlib.AsyncExitStack() as stack:
@@ -281,12 +282,24 @@
                 asyncio.ensure_future(self._tick()),
                 asyncio.ensure_future(self.subscription.run()),
             ]
+            for task in tasks:
+                task.add_done_callback(
+                    functools.partial(self._on_task_done, stop)
+                )
             try:
                 yield
             finally:
                 for task in tasks:
                     task.cancel()
 
+    def _on_task_done(
+        self, stop: asyncio.Event, task: asyncio.Future[None]
+    ) -> None:
+        """Stop the program when a task ends by a fault."""
+        if not task.cancelled() and task.exception() is not None:
+            self.failed = task.exception()
+            stop.set()
+
     async def _tick(self) -> None:
         """Let time pass in all cores."""
         while True:
@@ -299,7 +312,7 @@
         self.perform(cores.members.on_tick(now))
         if cores.views.refresh(now):
             self.requests.set_alive()
-        self.perform(cores.placer.tick(now))
+        self.perform(cores.placer.on_tick(now))
         self.requests.on_tick(now)
         if self.is_ready():
             self._fabric.on_tick(now)
@@ -308,6 +321,10 @@
         """Tell whether packets can be served: contracts and roster known."""
         return self.requests.has_roster()
 
+    def _is_handed_over(self) -> bool:
+        """Tell whether nothing is under way and the others know the rest."""
+        return self.requests.is_idle() and self.cores.placer.left
+
     async def leave(self) -> None:
         """Stop taking new work, hand over, and finish what is under way."""
         start = self._clock()
@@ -319,7 +336,7 @@
         while self._clock() - start < LEAVE_MAX_S:
             await asyncio.sleep(DRAIN_STEP_S)
             spent = self._clock() - start
-            if spent >= LEAVE_MIN_S and self.requests.is_idle():
+            if spent >= LEAVE_MIN_S and self._is_handed_over():
                 break
         self.requests.hand_over(self._clock())
         await asyncio.sleep(DRAIN_STEP_S)
--- a/foxtailworks/entry/_views.py
+++ b/foxtailworks/entry/_views.py
@@ -6,6 +6,9 @@
 from foxtailworks import placement
 from foxtailworks import upstreams
 
+# A host that has said that it leaves hands over for so long at most.
+LEAVING_S = 15.0
+
 
 class Views:
     """Follows membership and directory; recomputes on their changes."""
@@ -19,13 +22,19 @@
         self._members = members
         self._directory = directory
         self._placer = placer
-        self._seen: tuple[int, int] = (-1, -1)
+        self._seen: tuple[int, int, int] = (-1, -1, -1)
+        self._left_at: dict[ids.HostId, float] = {}
         self._by_peer: dict[ids.Address, ids.HostId] = {}
         self._by_address: dict[ids.Address, upstreams.Upstream] = {}
 
     def refresh(self, now: float) -> bool:
         """Bring the placer up to date; say whether anything changed."""
-        current = (self._members.version(), self._directory.version())
+        leaving = self._leaving(now)
+        current = (
+            self._members.version(),
+            self._directory.version(),
+            len(leaving),
+        )
         if current == self._seen:
             return False
         self._seen = current
@@ -34,17 +43,40 @@
         }
         open_ones = [item for item in self._directory.all() if item.is_open]
         self._by_address = {item.address: item for item in open_ones}
-        self._placer.set_hosts(self._host_views(), now)
+        self._placer.set_hosts(self._host_views(leaving), now)
         views = tuple(self._upstream_view(item) for item in open_ones)
         self._placer.set_upstreams(views, now)
         return True
 
-    def _host_views(self) -> tuple[placement.HostView, ...]:
-        """Return live hosts, and those that are leaving but still here."""
+    def _leaving(self, now: float) -> tuple[membership.Host, ...]:
+        """Return hosts that said that they leave and may still be here."""
+        left = [
+            item
+            for item in self._members.hosts()
+            if item.state is membership.HostState.LEFT
+        ]
+        for item in left:
+            self._left_at.setdefault(item.id, now)
+        known = {item.id for item in left}
+        for host in [h for h in self._left_at if h not in known]:
+            del self._left_at[host]
         return tuple(
+            item for item in left if now - self._left_at[item.id] < LEAVING_S
+        )
+
+    def _host_views(
+        self, leaving: tuple[membership.Host, ...]
+    ) -> tuple[placement.HostView, ...]:
+        """Return live hosts, and those that are leaving but still here."""
+        live = (
             placement.HostView(item.id, item.zone)
             for item in self._members.live()
         )
+        state = placement.HostState.LEAVING
+        going = (
+            placement.HostView(item.id, item.zone, state) for item in leaving
+        )
+        return (*live, *going)
 
     def _upstream_view(
         self, item: upstreams.Upstream
