Take the zones of slots from the roster that all agree on

Cause: 5 to 7 of 200 flows moved when an entry host left. It lasts for the idle time of flows (300 s) after all hosts start together. Ruled out: loss (all datagrams answered), stopping too early (it waited 4 s until all was handed over). Change: the availability zone of a slot and the zones' shares come from the roster, agreed by the keepers, not from what each host holds settled.

--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -234,6 +234,12 @@
         )
         if update.roster is not None:
             self.requests.set_roster(update.roster, now)
+            self.cores.placer.set_homes(
+                tuple(
+                    placement.HostView(item.host, item.zone)
+                    for item in update.roster.hosts
+                )
+            )
         self._operators.on_version(now)
         _EVENTS.info(
             "version_in_force",
--- a/foxtailworks/placement/_hosts.py
+++ b/foxtailworks/placement/_hosts.py
@@ -50,6 +50,15 @@
     """Host that may have owned the slot on the other side of a cut."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Home:
+    """A host of the agreed list."""
+
+    host: ids.HostId
+    zone: ids.ZoneId
+    seed: int
+
+
 class HostRing:
     """Rendezvous over hosts, cached slot by slot.
 
@@ -76,6 +85,7 @@
         self._adopted = False
         self.settle_s = settle_s
         """How long a death or join is remembered."""
+        self._homes: tuple[_Home, ...] = ()
         self._members: dict[ids.HostId, _Member] = {}
         self._routes: list[Route | None] = []
         self._order: tuple[_Member, ...] = ()
@@ -110,6 +120,36 @@
         self._forget(now)
         return self._refresh(now)
 
+    def set_homes(self, hosts: tuple[_types.HostView, ...]) -> bool:
+        """Take in the agreed hosts, from which slots get their zones.
+
+        :returns: whether the zones of slots may have changed
+        """
+        homes = tuple(
+            _Home(view.host, view.zone, _hashing.seed(view.host))
+            for view in sorted(hosts, key=lambda view: view.host)
+        )
+        if homes == self._homes:
+            return False
+        self._homes = homes
+        self._routes = [None] * _hashing.HOST_SLOTS
+        self.shares = self._zone_shares()
+        return True
+
+    def _zone_of(self, slot: int, settled: list[_Member]) -> ids.ZoneId:
+        """Return the zone by which the table places ``slot``.
+
+        Hosts may differ in what they hold settled, for as long as they have
+        just started; the agreed hosts are the same for all.
+        """
+        if self._homes:
+            home = max(
+                self._homes,
+                key=lambda item: _hashing.score(item.seed, slot),
+            )
+            return home.zone
+        return settled[0].zone if settled else self._zone
+
     def _meet(self, view: _types.HostView, now: float) -> None:
         """Note a listed host."""
         member = self._members.get(view.host)
@@ -189,7 +229,9 @@
 
     def _zone_shares(self) -> tuple[tuple[ids.ZoneId, float], ...]:
         """Return which part of the flows each zone's hosts place."""
-        counts = collections.Counter(m.zone for m in self._settled.values())
+        hosts: abc.Collection[_Home | _Member] = self._homes
+        hosts = hosts or self._settled.values()
+        counts = collections.Counter(item.zone for item in hosts)
         total = sum(counts.values())
         return tuple((zone, counts[zone] / total) for zone in sorted(counts))
 
@@ -247,7 +289,7 @@
         return Route(
             owner,
             heir,
-            settled[0].zone if settled else self._zone,
+            self._zone_of(slot, settled),
             prior if prior != owner else None,
             self._returned(ranked),
         )
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -88,6 +88,16 @@
         if self._ring.set_hosts((*self._hosts, own), now):
             self._exchange.hosts_changed()
 
+    def set_homes(self, hosts: tuple[_types.HostView, ...]) -> None:
+        """Take in the hosts that all agree on, live or not.
+
+        They say by which availability zone the table places a flow, so that
+        hosts whose views of the live ones differ compute the same table.
+        Without them each host goes by those it holds settled.
+        """
+        if self._ring.set_homes(hosts):
+            self._exchange.tables_changed()
+
     def set_upstreams(
         self, views: tuple[_types.UpstreamView, ...], now: float
     ) -> None:
