Join agreement, disk and catalogue in a node; drive three at random

A state machine loses, delays, doubles and reorders messages, kills, freezes, cuts (also one-way) and fails disks, and checks from outside: one leader a term, one committed log, one outcome for an edit id, no stale read, nothing accepted lost.

--- a/foxtailworks/journal/__init__.py
+++ b/foxtailworks/journal/__init__.py
@@ -9,6 +9,7 @@
 from foxtailworks.journal._files import DiskFiles
 from foxtailworks.journal._files import Files
 from foxtailworks.journal._journal import Journal
+from foxtailworks.journal._journal import Write
 from foxtailworks.journal._memory import MemoryFiles
 
-__all__ = ["DiskFiles", "Files", "Journal", "MemoryFiles"]
+__all__ = ["DiskFiles", "Files", "Journal", "MemoryFiles", "Write"]
--- /dev/null
+++ b/foxtailworks/keeper/__init__.py
@@ -0,0 +1,10 @@
+"""The program ``foxtail-keeper``: the replicated contract log.
+
+:class:`Node` joins agreement, disk and catalogue without any link.
+"""
+
+from foxtailworks.keeper._node import Decided
+from foxtailworks.keeper._node import Displaced
+from foxtailworks.keeper._node import Node
+
+__all__ = ["Decided", "Displaced", "Node"]
--- /dev/null
+++ b/foxtailworks/keeper/tests/cluster.py
@@ -0,0 +1,264 @@
+"""Several keepers in virtual time, with a network and disks that fail."""
+
+import collections
+import errno
+import random
+
+from foxtailworks import agreement
+from foxtailworks import contracts
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import journal
+from foxtailworks import keeper
+from foxtailworks import wire
+
+CODEC = wire.Codec(agreement.MESSAGES)
+TICK_S = 0.05
+LEADER = agreement.Role.LEADER
+
+
+def address(place):
+    return ids.Address("127.0.0.1", 9000 + place)
+
+
+def document(customer, port):
+    return (
+        f'{{customer: "{customer}", services: [{{name: "s", kind: "flow",'
+        f' address: "127.0.0.1:{port}"}}]}}'
+    )
+
+
+class Cluster:
+    """Keepers by place; a place keeps its disk, not its identity."""
+
+    def __init__(self, size, seed=0, spare=0, compact=6):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.compact = compact
+        self.files, self.nodes, self.frozen = {}, {}, set()
+        self.names, self.born = {}, 0
+        self.cuts, self.queue = set(), collections.deque()
+        # What must never change, as seen from outside.
+        self.committed, self.leaders, self.answers = {}, {}, {}
+        self.asked, self.reads, self.edits, self.read_floor = {}, {}, {}, {}
+        for place in range(size + spare):
+            self.new_disk(place)
+            self.start(place)
+        members = tuple(
+            agreement.Member(self.names[p], f"k{p}", address(p), voter=True)
+            for p in range(size)
+        )
+        self.nodes[0].found("g", agreement.Membership(members), self.now)
+        self.settle(0)
+
+    # Hosts and disks
+
+    def new_disk(self, place):
+        self.files[place] = journal.MemoryFiles()
+
+    def start(self, place):
+        self.born += 1
+        disk = journal.Journal(
+            self.files[place],
+            lambda: ids.KeeperId(f"k{place}-{self.born}"),
+        )
+        self.names[place] = disk.keeper
+        self.nodes[place] = keeper.Node(
+            disk, self.rng, self.now, compact_entries=self.compact
+        )
+
+    def kill(self, place):
+        self.nodes.pop(place, None)
+        self.frozen.discard(place)
+        self.files[place].fail_with = None
+        self.files[place].crash(self.rng)
+
+    def fail_disk(self, place, fault=errno.EIO):
+        self.files[place].fail_with = fault
+
+    # Time and messages
+
+    def tick(self, seconds=TICK_S):
+        self.now += seconds
+        for place in sorted(self.nodes):
+            if place not in self.frozen:
+                self.step(place, lambda n: n.on_tick(self.now))
+
+    def step(self, place, action):
+        """Run one call of a node and what follows from it."""
+        node = self.nodes[place]
+        try:
+            result = action(node)
+        finally:
+            if place in self.nodes:
+                self.settle(place)
+        return result
+
+    def settle(self, place):
+        node = self.nodes[place]
+        try:
+            self.collect(place, node)
+            node.flush(self.now)
+        except errors.FoxtailError as exc:
+            assert exc.code == errors.Code.JOURNAL_UNWRITABLE, exc
+            node.take_events()
+            self.kill(place)
+            return
+        self.collect(place, node)
+
+    def collect(self, place, node):
+        for event in node.take_events():
+            if isinstance(event, agreement.Send):
+                self.queue.append(
+                    (node.replica.keeper, event.to, CODEC.encode(event.msg))
+                )
+            elif isinstance(event, keeper.Decided):
+                self.note_decided(place, event)
+            elif isinstance(event, keeper.Displaced):
+                self.asked.pop((place, event.index), None)
+            elif isinstance(event, agreement.RoleChanged):
+                self.note_role(node, event)
+            elif isinstance(event, agreement.ReadReady):
+                floor = self.read_floor.pop((place, event.number), 0)
+                assert node.catalogue.view.version >= floor, "stale read"
+        self.check_log(node)
+
+    def deliver(self, position=0, again=False):
+        if not self.queue:
+            return
+        self.queue.rotate(-position)
+        src, dst, data = self.queue.popleft()
+        self.queue.rotate(position)
+        if again:
+            self.queue.append((src, dst, data))
+        place = next((p for p, n in self.names.items() if n == dst), None)
+        if (src, dst) in self.cuts or place not in self.nodes:
+            return
+        if place in self.frozen:
+            # Connections stay open: the message waits in a buffer.
+            self.queue.append((src, dst, data))
+            return
+        msg = CODEC.decode(data)
+        self.step(place, lambda n: n.on_message(src, msg, self.now))
+
+    def deliver_all(self, rounds=6):
+        for _ in range(rounds):
+            for _ in range(len(self.queue)):
+                self.deliver()
+
+    def calm(self, seconds=3.0):
+        for _ in range(int(seconds / TICK_S)):
+            self.tick()
+            self.deliver_all()
+
+    def storm(self, seed, steps, loss=0.2):
+        """Lose, delay, double and reorder messages while time passes."""
+        rng = random.Random(seed)
+        for _ in range(steps):
+            if rng.random() < 0.15 or not self.queue:
+                self.tick()
+            elif rng.random() < loss:
+                self.queue.popleft()
+            else:
+                reach = min(len(self.queue), 8)
+                self.deliver(rng.randrange(reach), rng.random() < 0.1)
+        while len(self.queue) > 2000:
+            self.queue.popleft()
+
+    def cut(self, a, b, both=True):
+        self.cuts.add((self.names[a], self.names[b]))
+        if both:
+            self.cuts.add((self.names[b], self.names[a]))
+
+    # Operators
+
+    def put(self, place, edit):
+        """Submit an edit; return the refusal's code, if there is one."""
+        if place not in self.nodes or place in self.frozen:
+            return errors.Code.LINK_LOST
+        try:
+            index = self.step(place, lambda n: n.propose(edit, self.now))
+        except errors.FoxtailError as exc:
+            assert exc.code != errors.Code.INTERNAL, exc
+            return exc.code
+        self.edits[edit.edit_id] = edit
+        if place in self.nodes and index is not None:
+            self.asked.setdefault((place, index), edit.edit_id)
+        return None
+
+    def read(self, place):
+        if place not in self.nodes or place in self.frozen:
+            return
+        floor = max(
+            (a.version for a in self.answers.values() if a.accepted),
+            default=0,
+        )
+        try:
+            node = self.nodes[place]
+            number = node.read(self.now)
+            self.read_floor[place, number] = floor
+            self.settle(place)
+        except errors.FoxtailError as exc:
+            assert exc.code != errors.Code.INTERNAL, exc
+
+    # Invariants seen from outside
+
+    def note_decided(self, place, event):
+        if event.outcome is None:
+            return
+        self.asked.pop((place, event.index), None)
+        first = self.answers.setdefault(event.outcome.edit_id, event.outcome)
+        assert event.outcome == first, "two outcomes for one edit"
+
+    def note_role(self, node, event):
+        if event.role is not LEADER:
+            return
+        first = self.leaders.setdefault(event.term, node.replica.keeper)
+        assert first == node.replica.keeper, "two leaders in one term"
+        for index, (term, _) in self.committed.items():
+            if index > node.replica.base_index:
+                assert node.replica.term_at(index) == term, "incomplete"
+
+    def check_log(self, node):
+        """Compare the newest committed entry with all keepers'."""
+        index = node.replica.commit_index
+        if not index or node.replica.term_at(index) is None:
+            return
+        mark = (node.replica.term_at(index), node.catalogue.snapshot())
+        assert self.committed.setdefault(index, mark) == mark, "log differs"
+
+    def leader(self):
+        """Return the place of a leader that a majority follows."""
+        found = [
+            (n.replica.term, p)
+            for p, n in self.nodes.items()
+            if n.replica.role is LEADER and p not in self.frozen
+        ]
+        return max(found, default=(0, None))[1]
+
+    def heal(self):
+        """Mend all and check that what was promised is there."""
+        self.cuts.clear()
+        self.frozen.clear()
+        for place, files in self.files.items():
+            files.fail_with = None
+            if place not in self.nodes:
+                files.crash(self.rng)
+                self.start(place)
+        self.calm(6.0)
+        lead = self.leader()
+        assert lead is not None, "no leader after all is healed"
+        edit = contracts.Edit(
+            ids.EditId(f"last-{self.now}"), ids.CustomerId("z"), 0, ""
+        )
+        assert self.put(lead, edit) is None
+        self.calm(3.0)
+        assert edit.edit_id in self.answers, "no edits after all is healed"
+        members = {
+            m.keeper for m in self.nodes[lead].replica.membership.members
+        }
+        whole = [n for p, n in self.nodes.items() if self.names[p] in members]
+        states = {n.catalogue.snapshot() for n in whole}
+        assert len(states) == 1, "catalogues differ"
+        for edit_id, outcome in self.answers.items():
+            assert whole[0].catalogue.outcome(edit_id) == outcome
