--- a/foxtailworks/coap/_write.py
+++ b/foxtailworks/coap/_write.py
@@ -62,15 +62,23 @@
 
 
 def cancel_request(
-    key: ids.RequestKey, token: bytes, message_id: int
+    key: ids.RequestKey, placement: bytes, token: bytes, message_id: int
 ) -> bytes:
-    """Ask an upstream never to start ``key``, if it has not yet."""
-    msg = compose(aiocoap.CON, message_id, aiocoap.POST, token)
+    """Ask an upstream never to start a placement, if it has not yet.
+
+    :param placement: token under which the request was placed
+    """
+    msg = compose(aiocoap.CON, message_id, aiocoap.POST, token, placement)
     msg.opt.uri_path = (CANCEL_PATH,)
     msg.opt.add_option(_opaque(_message.Option.IDEMPOTENCY_KEY, key))
     return bytes(msg.encode())
 
 
+def cancel_confirmed(answer: _message.UpstreamAnswer) -> bool:
+    """Tell whether an upstream promises never to start a placement."""
+    return answer.code == int(aiocoap.CHANGED)
+
+
 def _reply(
     req: _message.Request, code: object, payload: bytes
 ) -> aiocoap.Message:
--- /dev/null
+++ b/foxtailworks/placement/__init__.py
@@ -0,0 +1,76 @@
+"""Which upstream a flow belongs to, and which one a request goes to.
+
+A :class:`Placer` on each entry host answers for packets of flows; a
+:class:`Balancer` picks upstreams for requests that are idempotent.
+
+Example::
+
+    placer = placement.Placer(me, zone, now, epoch)
+    placer.set_hosts(hosts, now)
+    placer.set_upstreams(upstreams, now)
+    placer.on_packet(service, caller, now)
+"""
+
+from foxtailworks.placement._balancer import Balancer
+from foxtailworks.placement._balancer import Candidate
+from foxtailworks.placement._balancer import LeastReported
+from foxtailworks.placement._balancer import LeastSeen
+from foxtailworks.placement._balancer import Outcome
+from foxtailworks.placement._balancer import Policy
+from foxtailworks.placement._balancer import PowerOfTwo
+from foxtailworks.placement._balancer import RandomChoice
+from foxtailworks.placement._balancer import RoundRobin
+from foxtailworks.placement._balancer import Seen
+from foxtailworks.placement._messages import Absent
+from foxtailworks.placement._messages import Digest
+from foxtailworks.placement._messages import DigestAck
+from foxtailworks.placement._messages import Fresh
+from foxtailworks.placement._messages import Message
+from foxtailworks.placement._messages import MESSAGES
+from foxtailworks.placement._messages import Resend
+from foxtailworks.placement._messages import Synced
+from foxtailworks.placement._placer import MAX_HOPS
+from foxtailworks.placement._placer import Placer
+from foxtailworks.placement._placer import PlacerCounts
+from foxtailworks.placement._types import Decision
+from foxtailworks.placement._types import Deliver
+from foxtailworks.placement._types import HostState
+from foxtailworks.placement._types import HostView
+from foxtailworks.placement._types import PlacementConfig
+from foxtailworks.placement._types import Refuse
+from foxtailworks.placement._types import RelayTo
+from foxtailworks.placement._types import Send
+from foxtailworks.placement._types import UpstreamView
+
+__all__ = [
+    "MAX_HOPS",
+    "MESSAGES",
+    "Absent",
+    "Balancer",
+    "Candidate",
+    "Decision",
+    "Deliver",
+    "Digest",
+    "DigestAck",
+    "Fresh",
+    "HostState",
+    "HostView",
+    "LeastReported",
+    "LeastSeen",
+    "Message",
+    "Outcome",
+    "PlacementConfig",
+    "Placer",
+    "PlacerCounts",
+    "Policy",
+    "PowerOfTwo",
+    "RandomChoice",
+    "Refuse",
+    "RelayTo",
+    "Resend",
+    "RoundRobin",
+    "Seen",
+    "Send",
+    "Synced",
+    "UpstreamView",
+]
