--- a/foxtailworks/bench/_figure.py
+++ b/foxtailworks/bench/_figure.py
@@ -2,6 +2,12 @@
 
 import dataclasses
 import json
+import typing
+
+
+def render(value: typing.Any) -> str:
+    """Return a dataclass as one line of JSON."""
+    return json.dumps(dataclasses.asdict(value))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,4 +27,4 @@
 
     def to_json(self) -> str:
         """Return the figure as one line of JSON."""
-        return json.dumps(dataclasses.asdict(self))
+        return render(self)
--- a/foxtailworks/membership/_core.py
+++ b/foxtailworks/membership/_core.py
@@ -149,7 +149,7 @@
         yield from self._claims.on_tick(now)
         yield from self._condemn(now)
         yield from self._ask_others(now)
-        if now >= self._next_probe:
+        if now >= self._next_probe and not self._detector.is_waiting(now):
             self._next_probe = now + self._cfg.probe_interval_s
             yield from self._probe(now)
             yield from self._probe_zones(now)
--- a/foxtailworks/membership/_detector.py
+++ b/foxtailworks/membership/_detector.py
@@ -19,7 +19,7 @@
     target: ids.HostId
     sequence: int
     started_at: float
-    asked_others: bool = False
+    asked_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,11 +90,11 @@
     def overdue(self, now: float) -> tuple[_host.Host, int] | None:
         """Return the probed host once its direct answer is overdue."""
         probe = self._probe
-        if probe is None or probe.asked_others:
+        if probe is None or probe.asked_at is not None:
             return None
         if now - probe.started_at < self._cfg.probe_timeout_s:
             return None
-        probe.asked_others = True
+        probe.asked_at = now
         host = self._hosts.get(probe.target)
         return (host, probe.sequence) if host is not None else None
 
@@ -123,10 +123,17 @@
         if self._probe is not None and self._probe.sequence == sequence:
             self._probe = None
 
+    def is_waiting(self, now: float) -> bool:
+        """Tell whether others may still answer; ticks can come late."""
+        probe = self._probe
+        if probe is None or probe.asked_at is None:
+            return False
+        return now - probe.asked_at < self._cfg.probe_timeout_s
+
     def finish(self) -> _host.Host | None:
         """End the probe; return the host if nobody reached it."""
         probe, self._probe = self._probe, None
-        if probe is None or not probe.asked_others:
+        if probe is None or probe.asked_at is None:
             return None
         host = self._hosts.get(probe.target)
         if host is None or host.state is not _host.HostState.ALIVE:
--- a/foxtailworks/upstreams/tests/test_directory.py
+++ b/foxtailworks/upstreams/tests/test_directory.py
@@ -123,6 +123,21 @@
     assert ids_of(directory, 33.0) == [announcement.id]
 
 
+def test_announcement_that_crosses_an_expiry_stands():
+    holder, other = make_directory("host-1"), make_directory("host-0")
+    announcement = make_announcement()
+    list(holder.announce(announcement, 0.0))
+    list(other.merge(holder.all()[0], EVERYWHERE, 0.0))
+    tick(holder, 1, 31)
+    list(other.announce(announcement, 29.0))
+    expired, taken_over = holder.all()[0], other.all()[0]
+    assert expired.expired and expired.sequence == taken_over.sequence
+    list(holder.merge(taken_over, EVERYWHERE, 32.0))
+    list(other.merge(expired, EVERYWHERE, 32.0))
+    assert holder.get(announcement.id) == other.get(announcement.id)
+    assert other.get(announcement.id).holder == "host-0"
+
+
 def test_unchanged_announcement_goes_to_its_holder_and_nowhere_else():
     holder, other = make_directory("host-1"), make_directory("host-0")
     announcement = make_announcement()
--- a/foxtailworks/upstreams/tests/test_health.py
+++ b/foxtailworks/upstreams/tests/test_health.py
@@ -142,6 +142,8 @@
             counts[second] = counts.get(second, 0) + 1
         desk.see(chosen, OUTCOME.ANSWERED)
     assert counts[0] < 60
+    # A quarter of 500 a second would be its full share.
+    assert sum(counts[second] for second in range(4)) < 250
     assert counts[1] < counts[8]
     assert desk.state(0) is STATE.HEALTHY
 
