--- a/foxtailworks/entry/_keyed.py
+++ b/foxtailworks/entry/_keyed.py
@@ -4,12 +4,13 @@
 import dataclasses
 import functools
 import math
+import typing
 
 from foxtailworks import coap
+from foxtailworks.entry import _choice
 from foxtailworks.entry import _exchanges
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _replies
-from foxtailworks.entry import _services
 from foxtailworks.entry import _views
 from foxtailworks import ids
 from foxtailworks import observe
@@ -31,6 +32,7 @@
         coordinator: requests.Coordinator,
         views: _views.Views,
         directory: upstreams.Directory,
+        choice: _choice.Choice,
         exchanges: _exchanges.Exchanges,
         peers: _peers.Peers,
         replies: _replies.Replies,
@@ -39,6 +41,7 @@
         self._coordinator = coordinator
         self._views = views
         self._directory = directory
+        self._choice = choice
         self._exchanges = exchanges
         self._peers = peers
         self._replies = replies
@@ -60,13 +63,9 @@
             handle=call,
             retention_s=float(call.route.service.key_retention_s),
         )
-        if self._replies.admit(call, now):
-            self.perform(self._coordinator.request(now, arrival))
-        else:
-            retry_s = self._replies.retry_after_s()
-            self.perform(self._coordinator.refuse(now, arrival, retry_s))
+        self.perform(self._coordinator.request(now, arrival))
 
-    def on_message(self, src: ids.Address, msg: object) -> None:
+    def on_message(self, src: ids.Address, msg: typing.Any) -> None:
         """Take a message of another host in."""
         host = self._views.host_at(src)
         if host is not None:
@@ -105,7 +104,7 @@
             return
         now = self._clock()
         token = _token(action.claim)
-        self._directory.on_placed(action.upstream, now)
+        self._choice.on_sent(action.upstream)
         self._exchanges.send(
             token,
             upstream.address,
@@ -134,12 +133,8 @@
         """Take the upstream's answer to a placement."""
         now = self._clock()
         latency_ms = (now - sent_at) * 1000
-        outcome = (
-            upstreams.Outcome.SHED
-            if answer.shed
-            else upstreams.Outcome.ANSWERED
-        )
-        self._directory.observe(action.upstream, outcome, latency_ms, now)
+        outcome = _replies.outcome_of(answer)
+        self._choice.on_ended(action.upstream, outcome, latency_ms)
         if answer.shed:
             self.perform(
                 self._coordinator.shed(
--- a/foxtailworks/errors/_codes.py
+++ b/foxtailworks/errors/_codes.py
@@ -37,6 +37,7 @@
     JOURNAL_DAMAGED = 4001, "The log on disk is damaged in its middle."
     JOURNAL_UNWRITABLE = 4002, "The disk refused a write or a sync."
     NO_QUORUM = 4003, "A majority of keepers can't be reached."
+    KEEPER_MISSING = 4009, "No such keeper, or it doesn't answer."
     KEEPER_BUSY = 4004, "Too much waits for a majority; try again later."
     MEMBERSHIP_BUSY = 4005, "Another change of keepers is under way."
     MEMBERSHIP_REFUSED = 4006, "This change of keepers isn't safe now."
@@ -53,6 +54,9 @@
     UPSTREAM_SUPERSEDED = 8001, "The address has a newer incarnation."
     ANNOUNCEMENT_INVALID = 8002, "An announcement is out of its bounds."
     HOST_INVALID = 8003, "A claim on a host is out of its bounds."
+    # 9000: operator's tool
+    NOT_IN_FORCE = 9001, "Accepted; some reachable hosts lack it so far."
+    HOSTS_UNREACHED = 9002, "Some hosts gave no answer; they are named."
 
 
 def describe(code: Code) -> str:
