--- a/foxtailworks/upstreams/_directory.py
+++ b/foxtailworks/upstreams/_directory.py
@@ -4,9 +4,9 @@
 import itertools
 import random
 
-from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks import membership
+from foxtailworks.upstreams import _announcing
 from foxtailworks.upstreams import _candidates
 from foxtailworks.upstreams import _config
 from foxtailworks.upstreams import _events
@@ -155,16 +155,18 @@
         """
         old = self._table.get(announcement.address)
         if old is None and not self._table.has_room():
-            return self._refuse(errors.Code.TABLE_FULL, announcement, 0)
+            return iter((_announcing.refuse(announcement, old),))
         if old is None or announcement.incarnation > old.incarnation:
-            return self._change(self._first(announcement), now)
+            return self._change(
+                _announcing.first_record(announcement, self._me), now
+            )
         if announcement.key != old.key:
             return self._on_clash(announcement, old, now)
         is_older = announcement.incarnation < old.incarnation
         if is_older or old.state is _State.ENDED:
-            return self._refuse_superseded(announcement, old)
+            return iter((_announcing.refuse(announcement, old),))
         self._hint(old, announcement.load, now)
-        new = self._next(announcement, old)
+        new = _announcing.next_record(announcement, old)
         if new == old and old.address not in self._lapsed:
             return self._renew(old, announcement.load, now)
         return self._change(
@@ -180,61 +182,11 @@
         """End an incarnation that two services claim; refuse the other."""
         events: abc.Iterator[object] = iter(())
         if announcement.incarnation == old.incarnation:
-            events = self._change(self._first(announcement), now)
-        return itertools.chain(
-            events, self._refuse_superseded(announcement, old)
-        )
-
-    def _refuse_superseded(
-        self, announcement: _record.Announcement, old: _record.Upstream
-    ) -> abc.Iterator[object]:
-        """Refuse an incarnation that has ended."""
-        return self._refuse(
-            errors.Code.UPSTREAM_SUPERSEDED, announcement, old.incarnation
-        )
-
-    def _refuse(
-        self,
-        code: errors.Code,
-        announcement: _record.Announcement,
-        incarnation: int,
-    ) -> abc.Iterator[object]:
-        """Return the answer to an announcement that isn't taken in."""
-        refused = _events.AnnouncementRefused(
-            code, announcement.address, ids.Incarnation(incarnation)
-        )
-        return iter((refused,))
-
-    def _first(self, announcement: _record.Announcement) -> _record.Upstream:
-        """Return the first record of an incarnation."""
-        return _record.Upstream(
-            address=announcement.address,
-            customer=announcement.customer,
-            service=announcement.service,
-            zone=announcement.zone,
-            incarnation=announcement.incarnation,
-            slots=announcement.slots,
-            weight=announcement.weight,
-            lifetime_s=announcement.lifetime_s,
-            state=announcement.state,
-            expired=False,
-            sequence=1,
-            holder=self._me,
-        )
-
-    def _next(
-        self, announcement: _record.Announcement, old: _record.Upstream
-    ) -> _record.Upstream:
-        """Return ``old`` as announced; a drain is never undone."""
-        states = (old.state, announcement.state)
-        return old.with_changes(
-            zone=announcement.zone,
-            slots=announcement.slots,
-            weight=announcement.weight,
-            lifetime_s=announcement.lifetime_s,
-            state=max(states, key=lambda state: state.value),
-            expired=False,
-        )
+            events = self._change(
+                _announcing.first_record(announcement, self._me), now
+            )
+        refused = _announcing.refuse(announcement, old)
+        return itertools.chain(events, (refused,))
 
     def _renew(
         self, old: _record.Upstream, load: float | None, now: float
