Share doubts about silent upstreams within a zone

Cause: at the target size a host sends one upstream a request or so a minute, so that each host loses requests before it knows by itself that the upstream is dead. Reported load (lagging, up to 20 s old by the refresh of announcements) was weighed for gossip and left out: it is older than what the hosts see themselves.

A host that finds an upstream silent tells its zone. Each credible reporter leaves a quarter of the weight until the host sees an answer itself, the doubt is taken back or 60 s pass.

--- a/foxtailworks/bench/_virtual.py
+++ b/foxtailworks/bench/_virtual.py
@@ -62,11 +62,16 @@
         rng: random.Random,
         now: float,
         serial: int,
+        upstream_config: upstreams.Config | None,
     ) -> None:
         self.host = host
         self.serial = serial
         self.directory = upstreams.Directory(
-            host.id, host.zone, random.Random(rng.random()), now
+            host.id,
+            host.zone,
+            random.Random(rng.random()),
+            now,
+            upstream_config,
         )
         self.membership = membership.Membership(
             host,
@@ -113,6 +118,7 @@
         regions: int,
         seed: int,
         observer: Observer | None = None,
+        upstream_config: upstreams.Config | None = None,
     ) -> None:
         self.now = 0.0
         self.network = Network()
@@ -123,6 +129,7 @@
         self._rng = random.Random(seed)
         self._codec = wire.Codec(_MESSAGES, limit=DATAGRAM_LIMIT_BYTES)
         self._observer = observer
+        self._upstream_config = upstream_config
         self._counter = itertools.count()
         self._queue: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._at: dict[ids.Address, Process] = {}
@@ -142,7 +149,14 @@
         self._incarnations[number] = self._incarnations.get(number, 0) + 1_000
         host = self.make(number)
         serial = next(self._counter)
-        process = Process(host, self.seeds, self._rng, self.now, serial)
+        process = Process(
+            host,
+            self.seeds,
+            self._rng,
+            self.now,
+            serial,
+            self._upstream_config,
+        )
         self.processes[number] = process
         self._at[host.address] = process
         self.later(self._rng.uniform(0, TICK_S), lambda: self._tick(process))
--- a/foxtailworks/upstreams/_candidates.py
+++ b/foxtailworks/upstreams/_candidates.py
@@ -6,6 +6,7 @@
 
 from foxtailworks import ids
 from foxtailworks.upstreams import _config
+from foxtailworks.upstreams import _doubts
 from foxtailworks.upstreams import _health
 from foxtailworks.upstreams import _record
 
@@ -36,11 +37,16 @@
     """Computes candidates from records and health."""
 
     def __init__(
-        self, zone: ids.ZoneId, rng: random.Random, config: _config.Config
+        self,
+        zone: ids.ZoneId,
+        rng: random.Random,
+        config: _config.Config,
+        doubts: _doubts.Doubts,
     ) -> None:
         self._zone = zone
         self._rng = rng
         self._cfg = config
+        self._doubts = doubts
         self._cached: dict[_record.ServiceKey, _Cached] = {}
         self._health: dict[ids.UpstreamId, _health.Health] = {}
         self.version = 0
@@ -61,6 +67,7 @@
     def drop(self, upstream: _record.Upstream) -> None:
         """Forget what was seen of an upstream."""
         self._health.pop(upstream.id, None)
+        self._doubts.drop(upstream.id)
         self.invalidate(upstream.key)
 
     def invalidate(self, key: _record.ServiceKey) -> None:
@@ -126,9 +133,10 @@
     ) -> Candidate:
         """Return one candidate with its effective weight."""
         nominal = upstream.slots * upstream.weight
+        doubts = self._doubts.count(upstream.id, health.answered_at)
         return Candidate(
             upstream.id,
             upstream,
-            nominal * health.share(median_ms, now),
+            nominal * health.share(median_ms, doubts, now),
             upstream.zone == self._zone,
         )
--- a/foxtailworks/upstreams/_config.py
+++ b/foxtailworks/upstreams/_config.py
@@ -45,6 +45,14 @@
     """Own observations that outweigh a reported load."""
     hint_s: float = 10.0
     """Age at which a reported load counts no more."""
+    share_doubts: bool = True
+    """Whether hosts of a zone tell one another of silent upstreams."""
+    doubt_s: float = 60.0
+    """Lifetime of another host's doubt."""
+    enough_doubts: int = 2
+    """Reporters after which others add none of their own."""
+    doubt_weight: float = 0.25
+    """Share of the weight that each reporter's doubt leaves."""
     orphan_grace_s: float = 5.0
     """Added to the lifetime of an upstream whose holder is lost."""
     freeze_gap_s: float = 2.0
--- a/foxtailworks/upstreams/_directory.py
+++ b/foxtailworks/upstreams/_directory.py
@@ -9,6 +9,7 @@
 from foxtailworks.upstreams import _announcing
 from foxtailworks.upstreams import _candidates
 from foxtailworks.upstreams import _config
+from foxtailworks.upstreams import _doubts
 from foxtailworks.upstreams import _events
 from foxtailworks.upstreams import _health
 from foxtailworks.upstreams import _leases
@@ -32,7 +33,7 @@
     :param config: times and bounds
     """
 
-    tags = frozenset({170})
+    tags = frozenset({170, 171})
 
     def __init__(
         self,
@@ -46,7 +47,10 @@
         self._cfg = config or _config.Config()
         self._table = _table.UpstreamTable(self._cfg)
         self._leases = _leases.Leases(me, now, self._cfg)
-        self._candidates = _candidates.Candidates(zone, rng, self._cfg)
+        self._doubts = _doubts.Doubts(me, self._cfg, self._table.queue)
+        self._candidates = _candidates.Candidates(
+            zone, rng, self._cfg, self._doubts
+        )
         self._lapsed: set[ids.Address] = set()
         self._cut: set[ids.ZoneId] = set()
         self.rumours = self._table.rumours
@@ -130,6 +134,8 @@
         health.refresh(now)
         if health.observe(outcome, latency_ms, now):
             self._invalidate(upstream_id)
+            if self._cfg.share_doubts:
+                self._doubts.tell(upstream_id, health.is_silent, now)
 
     def health_of(
         self, upstream_id: ids.UpstreamId
@@ -256,22 +262,26 @@
         """Time of the last change."""
         return self._table.changed_at
 
-    def decode(self, item: bytes) -> _record.Upstream:
+    def decode(self, item: bytes) -> _record.Upstream | _messages.Doubt:
         """Return the record in ``item``.
 
         :raises FoxtailError: the item is malformed
         """
+        record: _record.Upstream | _messages.Doubt
         record = _messages.CODEC.decode(item)
-        assert isinstance(record, _record.Upstream)
         return record
 
     def merge(
         self,
-        record: _record.Upstream,
+        record: _record.Upstream | _messages.Doubt,
         spread: membership.Spread,
         now: float,
     ) -> abc.Iterator[object]:
         """Take a record in that another host passed on."""
+        if isinstance(record, _messages.Doubt):
+            if self._doubts.merge(record, now):
+                self._invalidate(record.upstream)
+            return iter(())
         return self._change(record, now, spread)
 
     def _change(
@@ -322,6 +332,8 @@
     def on_tick(self, now: float) -> abc.Iterator[object]:
         """Expire what wasn't announced for its lifetime."""
         self._table.forget_old(now)
+        for upstream_id in self._doubts.on_tick(now):
+            self._invalidate(upstream_id)
         events: list[object] = []
         for address in self._leases.due(now):
             events += self._expire(address, now)
--- a/foxtailworks/upstreams/_health.py
+++ b/foxtailworks/upstreams/_health.py
@@ -64,6 +64,7 @@
         "_silences",
         "_since",
         "_until",
+        "answered_at",
         "latency_ms",
         "state",
     )
@@ -94,6 +95,7 @@
         self._sampled_at = now
         self._hint = 0.0
         self._hint_at = -1e9
+        self.answered_at = -1e9
 
     def observe(self, outcome: Outcome, latency_ms: float, now: float) -> bool:
         """Take an outcome in; tell whether the state changed.
@@ -115,6 +117,7 @@
 
     def _on_answer(self, latency_ms: float, now: float) -> None:
         """Count an answer."""
+        self.answered_at = now
         self._silences = 0
         self._sheds = 0
         self._failures *= 1 - FAILURE_SHARE
@@ -219,10 +222,17 @@
         is_fresh = now - self._sampled_at <= self._cfg.hint_s
         return is_fresh and self._samples >= self._cfg.own_samples
 
-    def share(self, median_ms: float, now: float) -> float:
+    @property
+    def is_silent(self) -> bool:
+        """Tell whether silence has cost the upstream its good state."""
+        calm = (HealthState.HEALTHY, HealthState.RAMPING)
+        return self._silences > 0 and self.state not in calm
+
+    def share(self, median_ms: float, doubts: int, now: float) -> float:
         """Return the share of its weight that the upstream gets, 0 to 1.
 
         :param median_ms: median time to answer of its peers; 0 if unknown
+        :param doubts: other hosts that found it silent
         """
         if self.state is HealthState.BACKED_OFF:
             return 0.0
@@ -230,6 +240,8 @@
             return self._cfg.half_open_weight if self._probes > 0 else 0.0
         share = self._shed_factor * (1 - self._failures)
         share *= self._slowness(median_ms, now)
+        if doubts:
+            share *= self._cfg.doubt_weight**doubts
         if self.state is HealthState.SUSPECT:
             share *= self._cfg.suspect_weight
         elif self.state is HealthState.RAMPING:
--- a/foxtailworks/upstreams/_messages.py
+++ b/foxtailworks/upstreams/_messages.py
@@ -20,9 +20,26 @@
     """Reported load."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Doubt:
+    """A host found an upstream silent, or found it answering again."""
+
+    reporter: ids.HostId
+    """The host that found it."""
+    sequence: int
+    """Grows with each word of this host."""
+    upstream: ids.UpstreamId
+    """The upstream in question."""
+    doubted: bool
+    """False takes an earlier doubt back."""
+
+
 MESSAGES: typing.Final[dict[int, type]] = {150: Renew}
 
-ITEMS: typing.Final[dict[int, type]] = {170: _record.Upstream}
+ITEMS: typing.Final[dict[int, type]] = {
+    170: _record.Upstream,
+    171: Doubt,
+}
 
 ITEM_LIMIT_BYTES = 600
 
--- a/foxtailworks/upstreams/_table.py
+++ b/foxtailworks/upstreams/_table.py
@@ -23,8 +23,8 @@
         ] = {}
         self._buckets: dict[int, set[ids.Address]] = {}
         self._ended_at: dict[ids.Address, float] = {}
-        self._queue = membership.Queue()
-        self.rumours = self._queue.rumours
+        self.queue = membership.Queue()
+        self.rumours = self.queue.rumours
         self.hashes = membership.BucketHashes()
         self.changed_at = 0.0
         self.dropped = 0
@@ -53,7 +53,7 @@
 
     def set_role(self, zone_hosts: int, is_relay: bool) -> None:
         """Learn the size of the own zone and whether this host relays."""
-        self._queue.set_role(zone_hosts, is_relay)
+        self.queue.set_role(zone_hosts, is_relay)
 
     def has_room(self) -> bool:
         """Tell whether a new address can be taken in."""
@@ -77,7 +77,7 @@
         self._check(old, new)
         self._put(old, new, now)
         # What ends new work goes first.
-        self._queue.put(
+        self.queue.put(
             str(new.address),
             self._items[new.address],
             spread,
