Place repeatable requests within a retry budget

Cause: a GET, PUT or DELETE may be placed again, but retries multiply an outage, and answers come late, twice or crossed. Blocks of one body enter at different hosts and must reach one upstream.

Change: IdempotentRequests (own token for each try, another upstream, back-off with jitter, stop at the deadline, cancellation passed on), RetryBudget (10 % of fresh requests), Bodies (owner by rendezvous tells a second owner before either dies).

Ruled out: "not run" for PUT and DELETE that are given up on: a copy of the datagram may run at another host and there is no claim to prove it; they are told that the outcome is unknown.

--- a/foxtailworks/requests/__init__.py
+++ b/foxtailworks/requests/__init__.py
@@ -25,13 +25,24 @@
 from foxtailworks.requests._actions import Refuse
 from foxtailworks.requests._actions import Send
 from foxtailworks.requests._actions import Unknown
+from foxtailworks.requests._bodies import Bodies
+from foxtailworks.requests._bodies import body_id
+from foxtailworks.requests._bodies import Bound
+from foxtailworks.requests._budget import RetryBudget
 from foxtailworks.requests._coordinator import Coordinator
 from foxtailworks.requests._entry import State
 from foxtailworks.requests._groups import choose_group
 from foxtailworks.requests._groups import Group
 from foxtailworks.requests._groups import KeyGroups
 from foxtailworks.requests._groups import Roster
+from foxtailworks.requests._idempotent import CancelTry
+from foxtailworks.requests._idempotent import IdempotentRequests
+from foxtailworks.requests._idempotent import PlaceTry
+from foxtailworks.requests._idempotent import Repeatable
+from foxtailworks.requests._idempotent import TryToken
 from foxtailworks.requests._messages import AttemptId
+from foxtailworks.requests._messages import BodyBind
+from foxtailworks.requests._messages import BodyBound
 from foxtailworks.requests._messages import ClaimId
 from foxtailworks.requests._messages import make_codec
 from foxtailworks.requests._messages import Message
@@ -45,22 +56,33 @@
     "Answer",
     "Arrival",
     "AttemptId",
+    "Bodies",
+    "BodyBind",
+    "BodyBound",
+    "Bound",
     "Cancel",
     "CancelResult",
+    "CancelTry",
     "ClaimId",
     "ClaimStore",
     "Coordinator",
     "Group",
+    "IdempotentRequests",
     "KeyGroups",
     "Message",
     "PassTo",
     "Place",
+    "PlaceTry",
     "Recovery",
     "Refuse",
+    "Repeatable",
+    "RetryBudget",
     "Roster",
     "Send",
     "State",
+    "TryToken",
     "Unknown",
+    "body_id",
     "choose_group",
     "make_codec",
 ]
