Derive shares of limits and admit requests by them

Cause: a contract's limits hold over all hosts together, traffic moves between hosts, and control traffic is a few KB/s.

Ruled out: a taker that counts a lease from its receipt (fault below); permanent transfers (a lost one loses capacity for good).

--- /dev/null
+++ b/foxtailworks/limits/_flows.py
@@ -0,0 +1,76 @@
+"""Lets new flows of one service in."""
+
+from foxtailworks import ids
+from foxtailworks.limits import _admission
+from foxtailworks.limits import _bucket
+from foxtailworks.limits import _shares
+
+
+class FlowGate:
+    """Counts open flows and admits new ones against this host's shares.
+
+    :param customer: whose service it is
+    :param service: its name
+    :param shares: this host's shares of the limits
+    """
+
+    def __init__(
+        self,
+        customer: ids.CustomerId,
+        service: ids.ServiceId,
+        shares: _shares.Shares,
+    ) -> None:
+        self._shares = shares
+        self._open_limit = _shares.LimitId(
+            customer, service, _shares.Resource.OPEN_FLOWS
+        )
+        self._rate_limit = _shares.LimitId(
+            customer, service, _shares.Resource.NEW_FLOWS_PER_S
+        )
+        self._bucket = _bucket.TokenBucket()
+        self._limit = 0
+        self._fresh_until = 0.0
+        self._asked = 0
+        self._measured_at = 0.0
+        self._rate = 0.0
+        self.open = 0
+
+    def admit(self, now: float) -> bool:
+        """Return whether one more flow may open, and count it."""
+        self._asked += 1
+        self._refresh(now)
+        if self.open >= self._limit or self._bucket.tokens < 1.0:
+            return False
+        self._bucket.take()
+        self.open += 1
+        return True
+
+    def adopt(self) -> None:
+        """Count a flow that is open already, taken over from a host."""
+        self.open += 1
+
+    def closed(self) -> None:
+        """Count a flow that has ended."""
+        self.open = max(0, self.open - 1)
+
+    def tick(self, now: float) -> None:
+        """Tell the shares what the traffic would use."""
+        span_s = now - self._measured_at
+        if span_s < _admission.MEASURE_S:
+            return
+        change = self._asked / span_s - self._rate
+        self._rate += _admission.SMOOTHING * change
+        self._asked = 0
+        self._measured_at = now
+        self._shares.want(self._rate_limit, self._rate)
+        self._shares.want(self._open_limit, self.open + self._rate)
+
+    def _refresh(self, now: float) -> None:
+        """Look up the shares, at most every ``REFRESH_S``."""
+        if now < self._fresh_until:
+            self._bucket.refill(now, self._bucket.rate)
+            return
+        self._fresh_until = now + _admission.REFRESH_S
+        self._bucket.refill(now, self._shares.share(now, self._rate_limit))
+        share = self._shares.share(now, self._open_limit)
+        self._limit = int(share + _shares.ROUNDING)
--- /dev/null
+++ b/foxtailworks/limits/_messages.py
@@ -0,0 +1,46 @@
+"""What hosts tell one another about shares of limits."""
+
+import dataclasses
+
+from foxtailworks import ids
+from foxtailworks import wire
+
+MAX_MESSAGE_BYTES = 1200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskLease:
+    """Asks a host to lend a part of its share."""
+
+    customer: ids.CustomerId
+    service: ids.ServiceId
+    resource: int
+    """Number of the resource that is limited."""
+    number: int
+    """Names the question and the lease that answers it."""
+    amount: float
+    renews: int = 0
+    """Number of the lease that this one follows; 0 for none."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """Lends a part of the sender's share; the sender has lowered its own."""
+
+    customer: ids.CustomerId
+    service: ids.ServiceId
+    resource: int
+    number: int
+    amount: float
+    renews: int = 0
+
+
+Message = AskLease | Lease
+
+# Numbers 300 to 349 on the wire.
+MESSAGES: dict[int, type] = {300: AskLease, 301: Lease}
+
+
+def make_codec() -> wire.Codec:
+    """Return the codec of these messages alone."""
+    return wire.Codec(MESSAGES, MAX_MESSAGE_BYTES)
