Give each test process its own addresses

test_what_is_said_of_an_edit_is_true failed now and then while other processes of this machine opened sockets: in one failure the kernel had handed out the same free port twice within one example (an address is listed twice). A port that is bound to port 0 and closed may also be taken by an outgoing connection before it is used.

Tests of links and foxtailctl now take an address of 127/8 that depends on the process, and count ports up below the kernel's range.

--- a/foxtailworks/ctl/tests/standins.py
+++ b/foxtailworks/ctl/tests/standins.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import functools
-import socket
 import threading
 
 import uvloop
@@ -24,13 +23,6 @@
 HOST_CODEC = wire.Codec(observe.HOST_MESSAGES)
 
 
-def free_address():
-    """Return an address that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return ids.Address(*sock.getsockname())
-
-
 class Group:
     """What a group of keepers agrees on, decided by the real catalogue."""
 
--- a/foxtailworks/ctl/tests/test_commands.py
+++ b/foxtailworks/ctl/tests/test_commands.py
@@ -17,6 +17,7 @@
 from foxtailworks.ctl.tests import standins
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks.links.tests import addresses
 
 CONTRACT = '{customer: "balans", /* by phone */ services: []}'
 NEWER = """{customer: "balans", services: [
@@ -29,8 +30,8 @@
     def __init__(self, folder):
         self.group = standins.Group()
         self.hosts = (standins.Host("sofia-1"), standins.Host("sofia-2"))
-        self.keeper_address = standins.free_address()
-        self.addresses = [standins.free_address() for _ in self.hosts]
+        self.keeper_address = addresses.free_address()
+        self.addresses = [addresses.free_address() for _ in self.hosts]
         self.folder = folder
         self.settings = folder / "foxtailctl.json"
         self.configure(self.addresses)
@@ -134,7 +135,7 @@
 
 
 def test_unreached_hosts_are_named(cli):
-    absent = standins.free_address()
+    absent = addresses.free_address()
     cli.configure([cli.addresses[0], absent])
     code, report = cli.json("status")
     assert (code, report["result"]) == (ctl.Exit.PARTLY, "HOSTS_UNREACHED")
--- a/foxtailworks/ctl/tests/test_edits.py
+++ b/foxtailworks/ctl/tests/test_edits.py
@@ -15,6 +15,7 @@
 from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks import links
+from foxtailworks.links.tests import addresses
 from foxtailworks import settings
 
 FUZZ = hypothesis.settings(
@@ -95,14 +96,14 @@
 
 async def submit(scripts, group):
     """Send the edit to scripted keepers; return the answer or error."""
-    addresses = [standins.free_address() for _ in scripts]
-    cfg = settings.OperatorSettings(keepers=tuple(addresses), timeout_s=5)
+    chosen = [addresses.free_address() for _ in scripts]
+    cfg = settings.OperatorSettings(keepers=tuple(chosen), timeout_s=5)
     ticks = itertools.count()
     async with contextlib.AsyncExitStack() as stack:
         for n, script in enumerate(scripts):
-            keeper = Scripted(group, script, addresses[n - 1])
+            keeper = Scripted(group, script, chosen[n - 1])
             serving = links.serve(
-                addresses[n], standins.KEEPER_CODEC, keeper.handle
+                chosen[n], standins.KEEPER_CODEC, keeper.handle
             )
             await stack.enter_async_context(serving)
         keepers = _keepers.Keepers(
@@ -159,7 +160,7 @@
             return
 
     async def scenario():
-        address = standins.free_address()
+        address = addresses.free_address()
         cfg = settings.OperatorSettings(keepers=(address,), timeout_s=5)
         async with links.serve(address, standins.KEEPER_CODEC, lose):
             question = contracts.AddKeeper(1, address)
--- a/foxtailworks/links/tests/test_links.py
+++ b/foxtailworks/links/tests/test_links.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import io
-import socket
 
 import hypothesis
 from hypothesis import strategies as st
@@ -13,8 +12,8 @@
 from websockets.asyncio import client
 
 from foxtailworks import errors
-from foxtailworks import ids
 from foxtailworks import links
+from foxtailworks.links.tests import addresses
 from foxtailworks import observe
 from foxtailworks import settings
 from foxtailworks import wire
@@ -37,13 +36,7 @@
 
 @pytest.fixture
 def address():
-    return free_address()
-
-
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return ids.Address(*sock.getsockname())
+    return addresses.free_address()
 
 
 async def echo(link):
@@ -134,7 +127,7 @@
 @hypothesis.given(st.binary(max_size=64) | st.text(max_size=64))
 def test_malformed_messages_are_counted_and_close_the_link(data):
     async def scenario():
-        address, metrics = free_address(), observe.Metrics()
+        address, metrics = addresses.free_address(), observe.Metrics()
         async with links.serve(address, CODEC, echo, metrics=metrics):
             assert await send_raw(address, data) == 1008
             assert await ask(address, "on") == "on"
@@ -147,7 +140,7 @@
 @hypothesis.given(st.binary(max_size=200))
 def test_hostile_bytes_instead_of_a_handshake(data):
     async def scenario():
-        address = free_address()
+        address = addresses.free_address()
         async with links.serve(address, CODEC, echo):
             _, writer = await asyncio.open_connection(address.ip, address.port)
             writer.write(data)
@@ -166,7 +159,7 @@
         writer.close()
 
     async def scenario():
-        address = free_address()
+        address = addresses.free_address()
         async with await asyncio.start_server(
             answer, address.ip, address.port
         ):
@@ -180,11 +173,11 @@
 
 
 @pytest.fixture
-def make_tls(tmp_path):
+def make_tls(tmp_path, address):
     """Return a maker of TLS settings by authority."""
     authorities = {name: trustme.CA() for name in ("ours", "foreign")}
 
-    def make(signed_by, trusts="ours", name="127.0.0.1"):
+    def make(signed_by, trusts="ours", name=address.ip):
         folder = tmp_path / f"{signed_by}-{trusts}-{name}"
         folder.mkdir()
         cert = authorities[signed_by].issue_cert(name)
