--- a/foxtailworks/upstreams/_directory.py
+++ b/foxtailworks/upstreams/_directory.py
@@ -100,6 +100,13 @@
         """Return a number that changes whenever candidates do."""
         return self._candidates.version
 
+    def records_version(self) -> int:
+        """Return a number that weights alone don't change.
+
+        It changes with records, health states and cuts.
+        """
+        return self._candidates.records_version
+
     def on_placed(self, upstream_id: ids.UpstreamId, now: float) -> None:
         """Count new work: one that returns from back-off gets little."""
         health = self._candidates.health(upstream_id)
@@ -173,7 +180,7 @@
         """End an incarnation that two services claim; refuse the other."""
         events: abc.Iterator[object] = iter(())
         if announcement.incarnation == old.incarnation:
-            events = self._change(old.with_changes(state=_State.ENDED), now)
+            events = self._change(self._first(announcement), now)
         return itertools.chain(
             events, self._refuse_superseded(announcement, old)
         )
