Repeat a change of keepers only when nobody took it

A keeper answers NO_QUORUM also after it has added a learner that then doesn't catch up, so the tool's rule (go on after passing refusals) would have added it again. A change of keepers now goes on only after NOT_LEADER or when the link couldn't be opened.

--- a/foxtailworks/ctl/_exits.py
+++ b/foxtailworks/ctl/_exits.py
@@ -45,6 +45,7 @@
     errors.Code.CONTRACT_MISSING: Exit.MISSING,
     errors.Code.VERSION_MISSING: Exit.MISSING,
     errors.Code.NO_UPSTREAM: Exit.MISSING,
+    errors.Code.KEEPER_MISSING: Exit.MISSING,
     errors.Code.EDIT_UNKNOWN: Exit.UNKNOWN,
     errors.Code.LINK_LOST: Exit.UNREACHED,
     errors.Code.LINK_REFUSED: Exit.UNREACHED,
--- a/foxtailworks/ctl/_keepers.py
+++ b/foxtailworks/ctl/_keepers.py
@@ -48,6 +48,8 @@
     """The question arrived, or may have."""
     passing: bool
     """Another try may bring an answer."""
+    unheard: bool
+    """The question certainly reached nobody who would act on it."""
     leader: ids.Address | None = None
     """Whom to ask instead."""
 
@@ -119,7 +121,7 @@
                 return tried
             last = tried.exc
             may_have_run = may_have_run or tried.may_have_run
-            if not tried.passing or (may_have_run and not resend):
+            if not tried.passing or not (resend or tried.unheard):
                 break
         if may_have_run and (keyed or not resend):
             raise errors.FoxtailError(
@@ -178,7 +180,7 @@
                 return _refusal(answer)
             return typing.cast(A, answer)
         except errors.FoxtailError as exc:
-            return _Failure(exc, may_have_run=sent, passing=True)
+            return _Failure(exc, sent, passing=True, unheard=not sent)
 
 
 def _check(answer: typing.Any, question: typing.Any, kind: type) -> None:
@@ -206,6 +208,7 @@
         errors.FoxtailError(code, answer.detail),
         may_have_run=code is errors.Code.EDIT_UNKNOWN,
         passing=code in _PASSING,
+        unheard=code is errors.Code.NOT_LEADER,
         leader=answer.leader,
     )
 
--- a/foxtailworks/ctl/tests/test_edits.py
+++ b/foxtailworks/ctl/tests/test_edits.py
@@ -151,24 +151,35 @@
     assert run(scripts, standins.Group()).code == code
 
 
-def test_a_change_of_keepers_is_never_sent_twice():
+@pytest.mark.parametrize(
+    ("reply", "code"),
+    [
+        (None, Code.EDIT_UNKNOWN),
+        (_refused(Code.EDIT_UNKNOWN), Code.EDIT_UNKNOWN),
+        # A keeper says so also when a learner is added and lags.
+        (_refused(Code.NO_QUORUM), Code.NO_QUORUM),
+    ],
+)
+def test_a_change_of_keepers_is_never_sent_twice(reply, code):
     seen = []
 
-    async def lose(link):
+    async def refuse(link):
         async for msg in link:
             seen.append(msg)
-            return
+            if reply is None:
+                return
+            await link.send(reply)
 
     async def scenario():
         address = addresses.free_address()
         cfg = settings.OperatorSettings(keepers=(address,), timeout_s=5)
-        async with links.serve(address, standins.KEEPER_CODEC, lose):
+        async with links.serve(address, standins.KEEPER_CODEC, refuse):
             question = contracts.AddKeeper(1, address)
             with pytest.raises(errors.FoxtailError) as info:
                 await _keepers.Keepers(cfg).change(
                     question, contracts.KeeperChanged, 1
                 )
-        assert info.value.code is Code.EDIT_UNKNOWN
+        assert info.value.code is code
 
     uvloop.run(scenario())
     assert len(seen) == 1
