Notice a silent link within two seconds

An event loop that stands still for 1.5 s loses its links and dials again. pytest foxtailworks/links foxtailworks/ctl: 35 passed.

--- a/foxtailworks/links/_link.py
+++ b/foxtailworks/links/_link.py
@@ -13,7 +13,10 @@
 
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_QUEUED_MESSAGES = 64
-PING_INTERVAL_S = 10.0
+# A silent peer is noticed within the sum, in time to ask another for
+# an edit that must be in force within 4 s.
+PING_INTERVAL_S = 0.5
+PING_TIMEOUT_S = 1.5
 CLOSE_TIMEOUT_S = 2.0
 
 # Close codes of RFC 6455.
--- a/foxtailworks/links/_serve.py
+++ b/foxtailworks/links/_serve.py
@@ -53,7 +53,7 @@
             compression=None,
             open_timeout=OPEN_TIMEOUT_S,
             ping_interval=_link.PING_INTERVAL_S,
-            ping_timeout=_link.PING_INTERVAL_S,
+            ping_timeout=_link.PING_TIMEOUT_S,
             close_timeout=_link.CLOSE_TIMEOUT_S,
             max_size=_link.MAX_MESSAGE_BYTES,
             max_queue=_link.MAX_QUEUED_MESSAGES,
