Use the cores of repeatable requests, bodies and limits in the entry host

Cause: GET went by a hash of caller and path (no retries, uneven load), no limit was in force, and an unanswered request counted as in flight for ever. Change: each request passes admission by this host's shares; GET is placed by what the host sees, retried within a budget, and only bodies of several blocks are bound at their owner; each try reports answer, silence or end.

--- a/foxtailworks/coap/_message.py
+++ b/foxtailworks/coap/_message.py
@@ -82,6 +82,11 @@
     raw: aiocoap.Message
     """The message itself, for passing it on."""
 
+    @property
+    def resource(self) -> str:
+        """Path and query, by which a body is known."""
+        return self.path + "?" + "&".join(self.raw.opt.uri_query)
+
     def request_key(
         self, service: ids.ServiceId, caller: ids.Address
     ) -> ids.RequestKey:
--- a/foxtailworks/coap/_write.py
+++ b/foxtailworks/coap/_write.py
@@ -62,7 +62,10 @@
 
 
 def cancel_request(
-    key: ids.RequestKey, placement: bytes, token: bytes, message_id: int
+    key: ids.RequestKey | None,
+    placement: bytes,
+    token: bytes,
+    message_id: int,
 ) -> bytes:
     """Ask an upstream never to start a placement, if it has not yet.
 
@@ -70,7 +73,8 @@
     """
     msg = compose(aiocoap.CON, message_id, aiocoap.POST, token, placement)
     msg.opt.uri_path = (CANCEL_PATH,)
-    msg.opt.add_option(_opaque(_message.Option.IDEMPOTENCY_KEY, key))
+    if key is not None:
+        msg.opt.add_option(_opaque(_message.Option.IDEMPOTENCY_KEY, key))
     return bytes(msg.encode())
 
 
--- a/foxtailworks/entry/_choice.py
+++ b/foxtailworks/entry/_choice.py
@@ -4,8 +4,6 @@
 import random
 import typing
 
-import xxhash
-
 from foxtailworks.entry import _services
 from foxtailworks import ids
 from foxtailworks import placement
@@ -98,16 +96,14 @@
         self._directory.observe(upstream, _OUTCOMES[outcome], latency_ms, now)
         self._balancer.on_ended(upstream, outcome, now, self._rng)
 
-    def by_hash(
-        self, service: ids.ServiceId, digest: int
-    ) -> ids.UpstreamId | None:
-        """Return the upstream that hosts with equal views agree on."""
-        found = self._candidates(service)
-        if not found:
-            return None
-        key = digest.to_bytes(8, "big")
-        best = max(
-            found,
-            key=lambda item: xxhash.xxh3_64_intdigest(item.id.encode() + key),
+    def on_silence(self, upstream: ids.UpstreamId, waited_ms: float) -> None:
+        """Note that an upstream is silent; the request is still out."""
+        self._directory.observe(
+            upstream, upstreams.Outcome.SILENT, waited_ms, self._clock()
+        )
+
+    def on_dropped(self, upstream: ids.UpstreamId) -> None:
+        """Note that an answer is awaited no more."""
+        self._balancer.on_ended(
+            upstream, placement.Outcome.SILENT, self._clock(), self._rng
         )
-        return best.id
--- a/foxtailworks/entry/_cores.py
+++ b/foxtailworks/entry/_cores.py
@@ -6,6 +6,7 @@
 from foxtailworks import contracts
 from foxtailworks.entry import _views
 from foxtailworks import ids
+from foxtailworks import limits
 from foxtailworks import membership
 from foxtailworks import placement
 from foxtailworks import requests
@@ -17,6 +18,7 @@
     **upstreams.MESSAGES,
     **placement.MESSAGES,
     **requests.MESSAGES,
+    **limits.MESSAGES,
 }
 
 
--- a/foxtailworks/entry/_exchanges.py
+++ b/foxtailworks/entry/_exchanges.py
@@ -18,8 +18,31 @@
 MAX_RESENDS = 3
 MAX_EXCHANGES = 100_000
 
-# An answer and its bytes.
-TakeAnswer: typing.TypeAlias = abc.Callable[[coap.UpstreamAnswer, bytes], None]
+
+class Awaiting(typing.Protocol):
+    """Who awaits the answer to a message."""
+
+    def on_answer(self, answer: coap.UpstreamAnswer, data: bytes) -> None:
+        """Take the answer and its bytes."""
+
+    def on_silence(self) -> None:
+        """Learn that the upstream has been silent for a while."""
+
+    def on_end(self) -> None:
+        """Learn that no answer is awaited any more."""
+
+
+class Unheeded:
+    """Awaits an answer that changes nothing."""
+
+    def on_answer(self, answer: coap.UpstreamAnswer, data: bytes) -> None:
+        """Do nothing."""
+
+    def on_silence(self) -> None:
+        """Do nothing."""
+
+    def on_end(self) -> None:
+        """Do nothing."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,7 +52,7 @@
     address: ids.Address
     data: bytes
     message_id: int
-    take: TakeAnswer
+    awaiting: Awaiting
     until: float
     resend_at: float
     pause_s: float = FIRST_RESEND_S
@@ -66,7 +89,7 @@
         token: bytes,
         address: ids.Address,
         make: abc.Callable[[int], bytes],
-        take: TakeAnswer,
+        awaiting: Awaiting,
         now: float,
         lifetime_s: float,
     ) -> None:
@@ -84,7 +107,7 @@
             address=address,
             data=make(self._message_id),
             message_id=self._message_id,
-            take=take,
+            awaiting=awaiting,
             until=now + lifetime_s,
             resend_at=now + FIRST_RESEND_S,
         )
@@ -98,7 +121,9 @@
 
     def forget(self, token: bytes) -> None:
         """Await an answer no more."""
-        self._open.pop(token, None)
+        exchange = self._open.pop(token, None)
+        if exchange is not None:
+            exchange.awaiting.on_end()
 
     def take(self, data: bytes, src: ids.Address) -> None:
         """Take an upstream's message in."""
@@ -116,7 +141,7 @@
             self._metrics.count(observe.Counter.ANSWERS_LATE)
             return
         del self._open[answer.token]
-        exchange.take(answer, data)
+        exchange.awaiting.on_answer(answer, data)
 
     def _acknowledge(self, message_id: int, src: ids.Address) -> None:
         """Acknowledge a separate answer."""
@@ -126,14 +151,25 @@
 
     def on_tick(self, now: float) -> None:
         """Send again what is unanswered; forget what is over."""
-        ended = []
-        for token, exchange in self._open.items():
+        due = [
+            (token, item)
+            for token, item in self._open.items()
+            if now >= item.until or now >= item.resend_at
+        ]
+        for token, exchange in due:
             if now >= exchange.until:
-                ended.append(token)
-            elif now >= exchange.resend_at and exchange.resends < MAX_RESENDS:
-                exchange.resends += 1
-                exchange.pause_s *= 2
-                exchange.resend_at = now + exchange.pause_s
-                self._transmit(exchange)
-        for token in ended:
-            del self._open[token]
+                self.forget(token)
+            else:
+                self._resend(exchange, now)
+
+    def _resend(self, exchange: _Exchange, now: float) -> None:
+        """Send a message again, the first time with word of silence."""
+        if exchange.resends >= MAX_RESENDS:
+            exchange.resend_at = exchange.until
+            return
+        exchange.resends += 1
+        exchange.pause_s *= 2
+        exchange.resend_at = now + exchange.pause_s
+        self._transmit(exchange)
+        if exchange.resends == 1:
+            exchange.awaiting.on_silence()
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -18,6 +18,7 @@
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks import limits
 from foxtailworks import links
 from foxtailworks import membership
 from foxtailworks import observe
@@ -105,6 +106,7 @@
         )
         self._peers.on(placement.MESSAGES.values(), self._take_placement)
         self._peers.on(requests.MESSAGES.values(), self.requests.on_message)
+        self._peers.on(limits.MESSAGES.values(), self.requests.gate.on_message)
 
     def _feed(
         self,
@@ -240,6 +242,11 @@
                     for item in update.roster.hosts
                 )
             )
+        roster = view.roster
+        is_member = roster.find(self._cfg.host) is not None
+        self.requests.gate.set_limits(
+            self.services.all(), len(roster.hosts) if is_member else 0
+        )
         self._operators.on_version(now)
         _EVENTS.info(
             "version_in_force",
--- a/foxtailworks/entry/_idempotent.py
+++ b/foxtailworks/entry/_idempotent.py
@@ -1,75 +1,270 @@
 """The path of requests that may be repeated."""
 
+import collections
 from collections import abc
+import dataclasses
 import functools
 import math
 
-import xxhash
-
 from foxtailworks import coap
 from foxtailworks.entry import _choice
 from foxtailworks.entry import _exchanges
+from foxtailworks.entry import _peers
 from foxtailworks.entry import _replies
+from foxtailworks.entry import _tries
+from foxtailworks.entry import _views
+from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks import requests
 from foxtailworks import upstreams
 
 TOKEN_BYTES = 8
+CANCEL_LIFETIME_S = 2.0
+MAX_LARGE_PATHS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FirstBlock:
+    """An answer that is held back until its body is bound."""
+
+    call: _replies.Call
+    answer: coap.UpstreamAnswer
+    upstream: ids.UpstreamId
 
 
 class IdempotentPath:
-    """Places each request where all blocks of its body go."""
+    """Feeds the core of repeatable requests and that of bodies.
+
+    The first block of a body whose size isn't known yet goes anywhere; its
+    answer is held back until the body's owner has bound it to that upstream.
+    """
 
     def __init__(
         self,
+        core: requests.IdempotentRequests,
+        bodies: requests.Bodies,
         choice: _choice.Choice,
         directory: upstreams.Directory,
+        views: _views.Views,
         exchanges: _exchanges.Exchanges,
+        peers: _peers.Peers,
         replies: _replies.Replies,
         clock: abc.Callable[[], float],
     ) -> None:
+        self._core = core
+        self._bodies = bodies
         self._choice = choice
         self._directory = directory
+        self._views = views
         self._exchanges = exchanges
+        self._peers = peers
         self._replies = replies
         self._clock = clock
-        self._serial = 0
+        self._cancels = 0
+        self._large: collections.OrderedDict[tuple[ids.ServiceId, str], None]
+        self._large = collections.OrderedDict()
 
     def take(self, call: _replies.Call, now: float) -> None:
-        """Take a request in and send it to its upstream."""
-        body = f"{call.packet.source}{call.req.path}".encode()
-        digest = xxhash.xxh3_64_intdigest(body)
-        item = self._choice.by_hash(call.route.key, digest)
-        upstream = self._directory.get(item) if item is not None else None
+        """Take a request in."""
+        is_large = (call.route.key, call.req.resource) in self._large
+        if call.req.block or is_large:
+            proposal = None
+            if not call.req.block:
+                proposal = self._choice(call.route.key, ())
+            body = _body_of(call)
+            self.perform(self._bodies.block(now, body, call, proposal))
+        else:
+            self._place(call, None)
+
+    def _place(
+        self, call: _replies.Call, upstream: ids.UpstreamId | None
+    ) -> None:
+        """Give a request to the core, bound to an upstream or free."""
+        now = self._clock()
+        arrival = requests.Repeatable(
+            attempt=call.attempt(),
+            service=call.route.key,
+            remaining_ms=call.remaining_ms(now),
+            handle=call,
+            is_safe=call.req.method is coap.Method.GET,
+            upstream=upstream,
+        )
+        self.perform(self._core.request(now, arrival))
+
+    def on_message(self, src: ids.Address, msg: object) -> None:
+        """Take a message of another host about a body."""
+        host = self._views.host_at(src)
+        now = self._clock()
+        if isinstance(msg, requests.BodyBind) and host is not None:
+            self.perform(self._bodies.bind(now, host, msg))
+        elif isinstance(msg, requests.BodyBound):
+            self.perform(self._bodies.bound(now, msg))
+
+    def upstream_gone(self, upstream: ids.UpstreamId) -> None:
+        """Retry elsewhere what an ended upstream had."""
+        self._bodies.upstream_gone(upstream)
+        self.perform(self._core.upstream_gone(self._clock(), upstream))
+
+    def on_tick(self, now: float) -> None:
+        """Let time pass."""
+        self.perform(self._core.tick(now))
+        self.perform(self._bodies.tick(now))
+
+    def is_idle(self) -> bool:
+        """Tell whether no request is under way."""
+        return len(self._core) == 0
+
+    # Actions.
+
+    def perform(self, actions: abc.Iterable[object]) -> None:
+        """Carry out what the cores ask for."""
+        for action in actions:
+            self._perform(action)
+
+    @functools.singledispatchmethod
+    def _perform(self, action: object) -> None:
+        """Refuse an action of a kind that isn't known."""
+        raise errors.FoxtailError(
+            errors.Code.INTERNAL, "unknown action", kind=type(action).__name__
+        )
+
+    @_perform.register
+    def _send_try(self, action: requests.PlaceTry) -> None:
+        """Send the request to its upstream."""
+        call = action.handle
+        assert isinstance(call, _replies.Call)
+        upstream = self._directory.get(action.upstream)
+        now = self._clock()
         if upstream is None or not self._exchanges.has_room():
-            retry_s = math.ceil(self._replies.retry_after_s())
-            self._replies.not_run(call, retry_s)
+            self.perform(self._core.shed(now, action.token))
             return
-        self._serial += 1
-        token = b"i" + self._serial.to_bytes(TOKEN_BYTES - 1, "big")
-        remaining_ms = call.remaining_ms(now)
-        self._choice.on_sent(upstream.id)
+        token = action.token.to_bytes(TOKEN_BYTES, "big")
         self._exchanges.send(
             token,
             upstream.address,
             lambda message_id: coap.forward_request(
-                call.req, token, message_id, remaining_ms, None
+                call.req, token, message_id, action.remaining_ms, None
+            ),
+            _tries.Try(
+                self._choice,
+                action.upstream,
+                functools.partial(self._take_answer, action, call),
+                self._clock,
             ),
-            functools.partial(self._take_answer, call, upstream.id, now),
             now,
-            remaining_ms / 1000,
+            action.remaining_ms / 1000,
         )
 
     def _take_answer(
         self,
+        action: requests.PlaceTry,
         call: _replies.Call,
-        upstream: ids.UpstreamId,
-        sent_at: float,
         answer: coap.UpstreamAnswer,
         data: bytes,
     ) -> None:
-        """Pass the upstream's answer to the caller."""
+        """Give the answer to the core, or see to its body first."""
         now = self._clock()
-        latency_ms = (now - sent_at) * 1000
-        outcome = _replies.outcome_of(answer)
-        self._choice.on_ended(upstream, outcome, latency_ms)
-        self._replies.answered(call, answer)
+        if answer.shed:
+            retry_s = float(answer.retry_after_s)
+            self.perform(self._core.shed(now, action.token, retry_s))
+            return
+        name = (call.route.key, call.req.resource)
+        if answer.more_blocks and not call.req.block:
+            self._remember_large(name)
+            first = _FirstBlock(call, answer, action.upstream)
+            self._end_quietly(action.token, data)
+            body = _body_of(call)
+            self.perform(self._bodies.block(now, body, first, action.upstream))
+            return
+        self.perform(self._core.answered(action.token, data))
+
+    def _remember_large(self, name: tuple[ids.ServiceId, str]) -> None:
+        """Remember that a resource has a body of several blocks."""
+        self._large[name] = None
+        if len(self._large) > MAX_LARGE_PATHS:
+            self._large.popitem(last=False)
+
+    def _end_quietly(self, token: requests.TryToken, data: bytes) -> None:
+        """End a request in the core; its answer is given otherwise."""
+        for action in self._core.answered(token, data):
+            if not isinstance(action, requests.Answer):
+                self._perform(action)
+
+    @_perform.register
+    def _cancel(self, action: requests.CancelTry) -> None:
+        """Tell the upstream that nobody waits any more."""
+        token = action.token.to_bytes(TOKEN_BYTES, "big")
+        self._exchanges.forget(token)
+        upstream = self._directory.get(action.upstream)
+        if upstream is None or not self._exchanges.has_room():
+            return
+        self._cancels += 1
+        own = b"t" + self._cancels.to_bytes(TOKEN_BYTES - 2, "big")
+        self._exchanges.send(
+            own,
+            upstream.address,
+            lambda message_id: coap.cancel_request(
+                None, token, own, message_id
+            ),
+            _exchanges.Unheeded(),
+            self._clock(),
+            CANCEL_LIFETIME_S,
+        )
+
+    @_perform.register
+    def _answer(self, action: requests.Answer) -> None:
+        """Give the caller the whole answer."""
+        assert isinstance(action.handle, _replies.Call)
+        self._replies.answered(action.handle, coap.read_answer(action.answer))
+
+    @_perform.register
+    def _refuse(self, action: requests.Refuse) -> None:
+        """Tell the caller that the request didn't run."""
+        assert isinstance(action.handle, _replies.Call)
+        self._replies.not_run(action.handle, math.ceil(action.retry_after_s))
+
+    @_perform.register
+    def _unknown(self, action: requests.Unknown) -> None:
+        """Tell the caller that the outcome isn't known."""
+        assert isinstance(action.handle, _replies.Call)
+        self._replies.unknown(action.handle, math.ceil(action.retry_after_s))
+
+    @_perform.register
+    def _send(self, action: requests.Send) -> None:
+        """Send a message to another host."""
+        address = self._views.address_of(action.host)
+        if address is not None:
+            self._peers.send(address, action.message)
+
+    @_perform.register
+    def _bound(self, action: requests.Bound) -> None:
+        """Go on with what waited for its body's upstream."""
+        if isinstance(action.handle, _FirstBlock):
+            self._release(action.handle, action.upstream)
+            return
+        call = action.handle
+        assert isinstance(call, _replies.Call)
+        if action.upstream is None:
+            retry_s = math.ceil(self._replies.retry_after_s())
+            self._replies.not_run(call, retry_s)
+        else:
+            self._place(call, action.upstream)
+
+    def _release(
+        self, first: _FirstBlock, upstream: ids.UpstreamId | None
+    ) -> None:
+        """Release a first block, or fetch it where its body is bound."""
+        if upstream == first.upstream:
+            self._replies.answered(first.call, first.answer)
+        elif upstream is not None:
+            self._place(first.call, upstream)
+        else:
+            retry_s = math.ceil(self._replies.retry_after_s())
+            self._replies.unknown(first.call, retry_s)
+
+
+def _body_of(call: _replies.Call) -> int:
+    """Return the digest by which the body of a request is known."""
+    return requests.body_id(
+        call.route.key, str(call.packet.source), call.req.resource
+    )
--- a/foxtailworks/entry/_keyed.py
+++ b/foxtailworks/entry/_keyed.py
@@ -11,9 +11,9 @@
 from foxtailworks.entry import _exchanges
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _replies
+from foxtailworks.entry import _tries
 from foxtailworks.entry import _views
 from foxtailworks import ids
-from foxtailworks import observe
 from foxtailworks import requests
 from foxtailworks import upstreams
 
@@ -37,7 +37,9 @@
         peers: _peers.Peers,
         replies: _replies.Replies,
         clock: abc.Callable[[], float],
+        offer: abc.Callable[[_replies.Call], None],
     ) -> None:
+        self._offer = offer
         self._coordinator = coordinator
         self._views = views
         self._directory = directory
@@ -55,15 +57,21 @@
         if host is not None and call.packet.hops < MAX_HOPS:
             self._pass_on(call, host)
             return
-        arrival = requests.Arrival(
-            key=key,
-            attempt=_attempt(call),
-            service=call.route.key,
-            remaining_ms=call.remaining_ms(now),
-            handle=call,
-            retention_s=float(call.route.service.key_retention_s),
-        )
-        self.perform(self._coordinator.request(now, arrival))
+        if self._coordinator.state_of(key) is not None:
+            self.admitted(call)
+        else:
+            self._offer(call)
+
+    def admitted(self, call: _replies.Call) -> None:
+        """Go on with a call that was let in, or that joins its key."""
+        now = self._clock()
+        self.perform(self._coordinator.request(now, _arrival(call, now)))
+
+    def rejected(self, call: _replies.Call, retry_after_s: float) -> None:
+        """Refuse a call that admission didn't let in."""
+        now = self._clock()
+        arrival = _arrival(call, now)
+        self.perform(self._coordinator.refuse(now, arrival, retry_after_s))
 
     def on_message(self, src: ids.Address, msg: typing.Any) -> None:
         """Take a message of another host in."""
@@ -102,17 +110,20 @@
         if upstream is None or not self._exchanges.has_room():
             self._not_placed(action)
             return
-        now = self._clock()
         token = _token(action.claim)
-        self._choice.on_sent(action.upstream)
         self._exchanges.send(
             token,
             upstream.address,
             lambda message_id: coap.forward_request(
                 call.req, token, message_id, action.remaining_ms, action.key
             ),
-            functools.partial(self._take_answer, action, now),
-            now,
+            _tries.Try(
+                self._choice,
+                action.upstream,
+                functools.partial(self._take_answer, action),
+                self._clock,
+            ),
+            self._clock(),
             action.remaining_ms / 1000 + LATE_ANSWER_S,
         )
 
@@ -124,27 +135,16 @@
         )
 
     def _take_answer(
-        self,
-        action: requests.Place,
-        sent_at: float,
-        answer: coap.UpstreamAnswer,
-        data: bytes,
+        self, action: requests.Place, answer: coap.UpstreamAnswer, data: bytes
     ) -> None:
         """Take the upstream's answer to a placement."""
         now = self._clock()
-        latency_ms = (now - sent_at) * 1000
-        outcome = _replies.outcome_of(answer)
-        self._choice.on_ended(action.upstream, outcome, latency_ms)
+        key, claim = action.key, action.claim
         if answer.shed:
-            self.perform(
-                self._coordinator.shed(
-                    now, action.key, action.claim, answer.retry_after_s
-                )
-            )
-            return
-        self.perform(
-            self._coordinator.answered(now, action.key, action.claim, data)
-        )
+            retry_s = float(answer.retry_after_s)
+            self.perform(self._coordinator.shed(now, key, claim, retry_s))
+        else:
+            self.perform(self._coordinator.answered(now, key, claim, data))
 
     @_perform.register
     def _cancel(self, action: requests.Cancel) -> None:
@@ -160,16 +160,15 @@
             lambda message_id: coap.cancel_request(
                 action.key, _token(action.claim), token, message_id
             ),
-            functools.partial(self._take_cancelled, action),
+            _Cancelling(self, action),
             self._clock(),
             CANCEL_LIFETIME_S,
         )
 
-    def _take_cancelled(
+    def take_cancelled(
         self,
         action: requests.Cancel,
         answer: coap.UpstreamAnswer,
-        data: bytes,
     ) -> None:
         """Take what the upstream says to a cancellation."""
         never = coap.cancel_confirmed(answer)
@@ -221,7 +220,19 @@
             hops = call.packet.hops + 1
             packet = dataclasses.replace(call.packet, hops=hops)
             self._peers.relay(address, packet)
-            self._replies.count(observe.Counter.PACKETS_RELAYED)
+            self._replies.passed_on(call)
+
+
+class _Cancelling(_exchanges.Unheeded):
+    """Awaits what an upstream says to a cancellation."""
+
+    def __init__(self, path: KeyedPath, action: requests.Cancel) -> None:
+        self._path = path
+        self._action = action
+
+    def on_answer(self, answer: coap.UpstreamAnswer, data: bytes) -> None:
+        """Pass the answer on."""
+        self._path.take_cancelled(self._action, answer)
 
 
 def _token(claim: requests.ClaimId) -> bytes:
@@ -229,7 +240,14 @@
     return claim.to_bytes(TOKEN_BYTES, "big")
 
 
-def _attempt(call: _replies.Call) -> requests.AttemptId:
-    """Return what only retransmissions of the call's message share."""
-    digest = call.req.attempt_id(call.packet.source)
-    return requests.AttemptId(int.from_bytes(digest[:TOKEN_BYTES], "big"))
+def _arrival(call: _replies.Call, now: float) -> requests.Arrival:
+    """Return a call as the coordinator takes it."""
+    return requests.Arrival(
+        key=call.req.request_key(call.route.key, call.packet.source),
+        attempt=call.attempt(),
+        service=call.route.key,
+        remaining_ms=call.remaining_ms(now),
+        handle=call,
+        retention_s=float(call.route.service.key_retention_s),
+        waited_s=now - call.began,
+    )
--- a/foxtailworks/entry/_replies.py
+++ b/foxtailworks/entry/_replies.py
@@ -9,8 +9,8 @@
 from foxtailworks.entry import _fabric
 from foxtailworks.entry import _services
 from foxtailworks import observe
-from foxtailworks import placement
 from foxtailworks import proxyv2
+from foxtailworks import requests
 
 RETRY_MIN_S = 1.0
 RETRY_SPREAD_S = 2.0
@@ -33,17 +33,17 @@
     """When it came to this host."""
     deadline: float
     """When the caller stops waiting."""
+    number: int
+    """Names it on this host."""
 
     def remaining_ms(self, now: float) -> int:
         """Return the time until the deadline, in milliseconds."""
         return int((self.deadline - now) * 1000)
 
-
-def outcome_of(answer: coap.UpstreamAnswer) -> placement.Outcome:
-    """Return how a request ended, by its answer."""
-    if answer.shed:
-        return placement.Outcome.SHED
-    return placement.Outcome.ANSWERED
+    def attempt(self) -> requests.AttemptId:
+        """Return what only retransmissions of its message share."""
+        digest = self.req.attempt_id(self.packet.source)
+        return requests.AttemptId(int.from_bytes(digest[:8], "big"))
 
 
 class Replies:
@@ -62,6 +62,7 @@
         self._histograms = histograms
         self._rng = rng
         self._clock = clock
+        self.on_done: abc.Callable[[Call, bool], None] = _ignore
 
     def count(self, counter: observe.Counter) -> None:
         """Count one event."""
@@ -86,13 +87,24 @@
             int((self._clock() - call.began) * US_PER_S),
         )
         self._send(call, coap.answer_from_upstream(call.req, answer))
+        self.on_done(call, True)
 
     def not_run(self, call: Call, retry_after_s: int) -> None:
         """Tell that the request didn't run and won't."""
         self.count(observe.Counter.REQUESTS_NOT_RUN)
         self._send(call, coap.not_run(call.req, retry_after_s))
+        self.on_done(call, False)
 
     def unknown(self, call: Call, retry_after_s: int) -> None:
         """Tell that the outcome isn't known."""
         self.count(observe.Counter.REQUESTS_UNKNOWN)
         self._send(call, coap.outcome_unknown(call.req, retry_after_s))
+        self.on_done(call, False)
+
+    def passed_on(self, call: Call) -> None:
+        """Note that another host answers the call."""
+        self.on_done(call, True)
+
+
+def _ignore(call: Call, is_good: bool) -> None:
+    """Do nothing."""
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -1,10 +1,12 @@
 """The path of requests: read, sort by kind, answer."""
 
 from collections import abc
+import math
 import random
 
 from foxtailworks import coap
 from foxtailworks import contracts
+from foxtailworks.entry import _admission
 from foxtailworks.entry import _choice
 from foxtailworks.entry import _cores
 from foxtailworks.entry import _exchanges
@@ -16,6 +18,7 @@
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks import limits
 from foxtailworks import observe
 from foxtailworks import placement
 from foxtailworks import proxyv2
@@ -58,10 +61,29 @@
         self._choice = _choice.Choice(
             cores.directory, services, zone, rng, clock
         )
+        self.gate = _admission.Gate(
+            limits.Shares(cores.members.me.id, clock(), False, rng),
+            cores.views,
+            peers,
+            metrics,
+            rng,
+            clock,
+            self._admitted,
+            self._rejected,
+        )
+        self._replies.on_done = self.gate.done
+        self._serial = 0
+        self._bodies = requests.Bodies(cores.members.me.id)
         self._idempotent = _idempotent.IdempotentPath(
+            requests.IdempotentRequests(
+                cores.members.me.id, incarnation, self._choice, rng
+            ),
+            self._bodies,
             self._choice,
             cores.directory,
+            cores.views,
             self.exchanges,
+            peers,
             self._replies,
             clock,
         )
@@ -105,6 +127,7 @@
             self._peers,
             self._replies,
             self._clock,
+            self.gate.offer,
         )
         self.set_alive()
 
@@ -113,11 +136,15 @@
         live = self._cores.members.live()
         views = (placement.HostView(item.id, item.zone) for item in live)
         self._choice.set_hosts(self._cores.members.me.id, views)
+        names = [item.id for item in live]
+        self._bodies.set_alive(names)
+        self.gate.set_alive(names)
         if self._coordinator is not None:
-            self._coordinator.set_alive([item.id for item in live])
+            self._coordinator.set_alive(names)
 
     def upstream_gone(self, upstream: ids.UpstreamId) -> None:
         """Give up on what was placed on an upstream that has ended."""
+        self._idempotent.upstream_gone(upstream)
         if self._coordinator is not None and self._keyed is not None:
             now = self._clock()
             self._keyed.perform(self._coordinator.upstream_gone(now, upstream))
@@ -146,12 +173,27 @@
             self._refuse_malformed(packet)
             return
         now = self._clock()
-        call = _make_call(route, packet, req, now)
+        self._serial += 1
+        call = _make_call(route, packet, req, now, self._serial)
         if req.method.idempotent:
-            self._idempotent.take(call, now)
+            self.gate.offer(call)
         elif self._keyed is not None:
             self._keyed.take(call, now)
 
+    def _admitted(self, call: _replies.Call) -> None:
+        """Go on with a call that was let in."""
+        if call.req.method.idempotent:
+            self._idempotent.take(call, self._clock())
+        elif self._keyed is not None:
+            self._keyed.admitted(call)
+
+    def _rejected(self, call: _replies.Call, retry_after_s: float) -> None:
+        """Refuse a call that wasn't let in."""
+        if call.req.method.idempotent:
+            self._replies.not_run(call, math.ceil(retry_after_s))
+        elif self._keyed is not None:
+            self._keyed.rejected(call, retry_after_s)
+
     def _refuse_malformed(self, packet: proxyv2.Packet) -> None:
         """Answer a request that can't be read."""
         self._metrics.count(observe.Counter.REQUESTS_MALFORMED)
@@ -160,13 +202,17 @@
             self._fabric.answer(packet.target, packet.source, answer)
 
     def on_message(self, src: ids.Address, msg: object) -> None:
-        """Take another host's message about keyed requests."""
-        if self._keyed is not None:
+        """Take another host's message about requests."""
+        if isinstance(msg, requests.BodyBind | requests.BodyBound):
+            self._idempotent.on_message(src, msg)
+        elif self._keyed is not None:
             self._keyed.on_message(src, msg)
 
     def on_tick(self, now: float) -> None:
         """Let time pass."""
         self.exchanges.on_tick(now)
+        self.gate.on_tick(now)
+        self._idempotent.on_tick(now)
         if self._keyed is not None:
             self._keyed.on_tick(now)
 
@@ -180,7 +226,9 @@
     def is_idle(self) -> bool:
         """Tell whether nothing is under way."""
         keyed = self._coordinator
-        return len(self.exchanges) == 0 and (keyed is None or keyed.is_idle)
+        if len(self.exchanges) or not self._idempotent.is_idle():
+            return False
+        return keyed is None or keyed.is_idle
 
     def hand_over(self, now: float) -> None:
         """Give this host's claims to the others."""
@@ -193,6 +241,7 @@
     packet: proxyv2.Packet,
     req: coap.Request,
     now: float,
+    number: int,
 ) -> _replies.Call:
     """Return a call with its class and deadline."""
     kind = route.class_of(req)
@@ -204,4 +253,5 @@
         kind=kind,
         began=now,
         deadline=now + deadline_ms / MS_PER_S,
+        number=number,
     )
