Check that modules import modules, not objects

A test reads every module but a package's __init__ and asks the import system whether each imported name is a module. Weighed: a local flake8 plugin; it can't tell a module from an object without importing either, and needs an installed entry point.

Deliberate fault, from foxtailworks.errors import Code in links/_link.py: seen failing with its line.

--- /dev/null
+++ b/foxtailworks/tests/test_layout.py
@@ -0,0 +1,71 @@
+"""Modules import modules, not objects (OpenStack)."""
+
+import ast
+import functools
+import importlib
+import importlib.util
+import pathlib
+import types
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[2]
+FOLDERS = ("foxtailworks", "examples", "features")
+# A package's face imports objects to re-export them.
+FILES = sorted(
+    path
+    for folder in FOLDERS
+    for path in (ROOT / folder).rglob("*.py")
+    if path.name != "__init__.py"
+)
+# What behave's step files import by the library's custom.
+CUSTOMARY = {"behave"}
+
+
+def imports_of(tree):
+    """Yield (package, name, line) of each ``from package import name``."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and node.module != "__future__":
+            for alias in node.names:
+                yield node.module or "", alias.name, node.lineno
+
+
+@functools.cache
+def is_module(package, name):
+    """Tell whether ``name`` of ``package`` is a module."""
+    parent = importlib.import_module(package)
+    if isinstance(getattr(parent, name, None), types.ModuleType):
+        return True
+    if not hasattr(parent, "__path__"):
+        return False
+    return importlib.util.find_spec(f"{package}.{name}") is not None
+
+
+def objects_imported(text):
+    """Return where ``text`` imports an object."""
+    return [
+        f"line {line}: from {package} import {name}"
+        for package, name, line in imports_of(ast.parse(text))
+        if package not in CUSTOMARY and not is_module(package, name)
+    ]
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda p: str(p.relative_to(ROOT)))
+def test_modules_import_modules(path):
+    assert objects_imported(path.read_text()) == []
+
+
+@pytest.mark.parametrize(
+    ("text", "count"),
+    [
+        ("from collections import abc", 0),
+        ("from foxtailworks import errors", 0),
+        ("from foxtailworks.errors import _codes", 0),
+        ("import dataclasses", 0),
+        ("from foxtailworks.errors import Code", 1),
+        ("from typing import Any, Protocol", 2),
+        ("if True:\n    from dataclasses import field", 1),
+    ],
+)
+def test_the_check_tells_modules_from_objects(text, count):
+    assert len(objects_imported(text)) == count
