--- a/foxtailworks/bench/_broken.py
+++ b/foxtailworks/bench/_broken.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import random
+import typing
 
 from foxtailworks.bench import _fleet
 from foxtailworks.bench import _waiting
@@ -79,6 +80,7 @@
         self.now = 0.0
         self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._numbers = itertools.count()
+        self._versions: dict[tuple[ids.HostId, str], int] = {}
         self._dropped = 0
         self._imbalance = 0.0
         self.hosts = {
@@ -211,15 +213,32 @@
             for view in self.upstreams.values()
             if self.sides.get(view.zone, 0) == side
         )
-        for event in (
-            lambda: self.design.set_hosts(host, hosts, self.now),
-            lambda: self.design.set_upstreams(host, upstreams, self.now),
+        version = next(self._numbers)
+        for learn, views in (
+            (self.design.set_hosts, hosts),
+            (self.design.set_upstreams, upstreams),
         ):
             wait = after_s
             if wait is None:
                 wait = self.rng.uniform(0, self.learn_s)
+            event = functools.partial(
+                self._learned, host, version, learn, views
+            )
             self.at(self.now + wait, event)
 
+    def _learned(
+        self,
+        host: ids.HostId,
+        version: int,
+        learn: abc.Callable[..., None],
+        views: tuple[typing.Any, ...],
+    ) -> None:
+        """Have a host learn of views unless it knows newer ones."""
+        known = self._versions.get((host, learn.__name__), -1)
+        if version > known:
+            self._versions[host, learn.__name__] = version
+            learn(host, views, self.now)
+
     def drain(self) -> None:
         """Drain the first upstream."""
         first = next(iter(self.upstreams))
--- a/foxtailworks/placement/_exchange.py
+++ b/foxtailworks/placement/_exchange.py
@@ -101,10 +101,23 @@
         goal = self._incoming.goal_of(host)
         if goal is not None and goal.hosts == self._ring.view_hash:
             return None
-        return None if self.is_starting(host, now) else host
+        if self._peers.started_within(host, self._cfg.ask_s, now):
+            return None
+        return host
+
+    def is_mute(self, host: ids.HostId) -> bool:
+        """Return whether ``host`` can't know that this one has started."""
+        return self._starting and not self._peers.is_greeted(host)
+
+    @property
+    def starting(self) -> bool:
+        """Whether this host still learns what others know."""
+        return self._starting
 
-    def is_starting(self, host: ids.HostId, now: float) -> bool:
+    def is_new(self, host: ids.HostId, now: float) -> bool:
         """Return whether ``host`` doesn't know yet what others know."""
+        if self._peers.epoch(host) == 0:
+            return True
         return self._peers.started_within(host, self._cfg.ask_s, now)
 
     def base_view(self, route: _hosts.Route) -> int:
@@ -258,14 +271,12 @@
 
     def _gather_held(self, wanted: _walk.Wanted) -> None:
         """Pass on what dead or restarted hosts had told."""
-        for mark, upstream, origin in self._incoming.items():
+        for mark, upstream, origin, epoch in self._incoming.items():
             route = self._ring.route(_hashing.slot_of_fingerprint(mark))
             target = self._table.target(route)
             if target is None:
                 continue
-            if target == origin and not self._peers.started_within(
-                origin, self._ring.settle_s, self._now
-            ):
+            if target == origin and self._peers.epoch(origin) <= epoch:
                 continue
             wanted.setdefault(target, {})[mark] = upstream
 
--- a/foxtailworks/placement/_handover.py
+++ b/foxtailworks/placement/_handover.py
@@ -181,6 +181,7 @@
     """Shared by all exceptions that came in one generation."""
 
     origin: ids.HostId
+    epoch: int
     valid: bool = True
 
 
@@ -242,7 +243,7 @@
         if key < known.whole:
             return True
         if key not in known.generations:
-            known.generations[key] = _Generation(origin)
+            known.generations[key] = _Generation(origin, msg.epoch)
         item = (msg.upstream, known.generations[key])
         for mark in _digest.unpack(msg.flows):
             if len(self._held) >= self._cap and mark not in self._held:
@@ -285,11 +286,11 @@
 
     def items(
         self,
-    ) -> abc.Iterator[tuple[int, ids.UpstreamId, ids.HostId]]:
-        """Yield fingerprint, upstream and origin of each exception."""
+    ) -> abc.Iterator[tuple[int, ids.UpstreamId, ids.HostId, int]]:
+        """Yield fingerprint, upstream, origin and its epoch of each."""
         for mark, (upstream, generation) in list(self._held.items()):
             if generation.valid:
-                yield mark, upstream, generation.origin
+                yield mark, upstream, generation.origin, generation.epoch
 
     def sweep(
         self, present: abc.Container[ids.HostId], keep_s: float, now: float
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -154,10 +154,17 @@
         """Decide for a flow that isn't in the table or is in doubt."""
         route = self._ring.route(_hashing.host_slot(key))
         known = self._known(service, key)
-        to = self._next_hop(key, route, known, relayed_from, now)
+        to = self._next_hop(key, route, known, relayed_from, hops, now)
         if to is not None and hops < MAX_HOPS:
             self.counts.relayed += 1
             return _types.RelayTo(to, hops + 1)
+        if (
+            known is None
+            and relayed_from
+            and self._exchange.is_mute(relayed_from)
+        ):
+            # Lost, as on the wire: placed now it might be moved.
+            return _types.Refuse(errors.Code.OWNER_STARTING)
         if known is None:
             return self._place(service, key, route, now)
         told = self._told(service, key)
@@ -172,20 +179,24 @@
         route: _hosts.Route,
         known: _flows.Flow | None,
         relayed_from: ids.HostId | None,
+        hops: int,
         now: float,
     ) -> ids.HostId | None:
         """Return the host to pass a packet to, None to keep it."""
         owner = route.owner
         if owner == self._me:
             ask = self._exchange.whom_to_ask(route, now)
-            return ask if ask != relayed_from else None
+            if ask != relayed_from:
+                return ask
+            # A host that starts asks also the one that relayed to it.
+            return ask if self._exchange.starting and hops == 1 else None
         if known is not None or owner is None:
             return None
         if owner != relayed_from:
             return owner
         # The owner asks what is known here of the flow.
         is_told = self._exchange.lookup(key) is not None
-        if is_told or self._exchange.is_starting(owner, now):
+        if is_told or self._exchange.is_new(owner, now):
             return None
         return owner
 
