--- a/foxtailworks/placement/_exchange.py
+++ b/foxtailworks/placement/_exchange.py
@@ -305,6 +305,9 @@
         self, origin: ids.HostId, message: typing.Any, now: float
     ) -> tuple[_types.Send, ...]:
         """Take in a control message of another entry host."""
+        if not self._ring.is_known(origin):
+            self.ignored += 1
+            return ()
         return tuple(self._handle(message, origin, now))
 
     @functools.singledispatchmethod
--- a/foxtailworks/placement/_handover.py
+++ b/foxtailworks/placement/_handover.py
@@ -185,6 +185,32 @@
     valid: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _Held:
+    """Where a flow stands, by one host; shared by all of one message."""
+
+    upstream: ids.UpstreamId
+    generation: _Generation
+    older: "_Held | None" = None
+
+    def first_valid(self) -> "_Held | None":
+        """Return the latest that hasn't ended."""
+        item: _Held | None = self
+        while item is not None and not item.generation.valid:
+            item = item.older
+        return item
+
+    def after(self, older: "_Held | None") -> "_Held":
+        """Return this one, with the one of another host behind it.
+
+        No more than two are kept: the heir's and the last owner's.
+        """
+        if older is None or older.generation.origin == self.generation.origin:
+            return self
+        older = dataclasses.replace(older, older=None)
+        return dataclasses.replace(self, older=older)
+
+
 @dataclasses.dataclass(slots=True)
 class _Origin:
     """What came from one host."""
@@ -205,7 +231,7 @@
 
     def __init__(self, cap: int) -> None:
         self._cap = cap
-        self._held: dict[int, tuple[ids.UpstreamId, _Generation]] = {}
+        self._held: dict[int, _Held] = {}
         self._origins: dict[ids.HostId, _Origin] = {}
         self.dropped = 0
         """Exceptions that found no room."""
@@ -217,9 +243,8 @@
     def lookup(self, mark: int) -> ids.UpstreamId | None:
         """Return where the flow with this fingerprint stands."""
         found = self._held.get(mark)
-        if found is None or not found[1].valid:
-            return None
-        return found[0]
+        item = found.first_valid() if found is not None else None
+        return item.upstream if item is not None else None
 
     def goal_of(self, origin: ids.HostId) -> Goal | None:
         """Return what the last whole generation of a host refers to."""
@@ -244,12 +269,15 @@
             return True
         if key not in known.generations:
             known.generations[key] = _Generation(origin, msg.epoch)
-        item = (msg.upstream, known.generations[key])
+        item = _Held(msg.upstream, known.generations[key])
         for mark in _digest.unpack(msg.flows):
             if len(self._held) >= self._cap and mark not in self._held:
                 self.dropped += 1
                 continue
-            self._held[mark] = item
+            older = self._held.get(mark)
+            if older is not None:
+                older = older.first_valid()
+            self._held[mark] = item.after(older)
         return True
 
     def take_synced(self, origin: ids.HostId, msg: _messages.Synced) -> bool:
@@ -288,9 +316,11 @@
         self,
     ) -> abc.Iterator[tuple[int, ids.UpstreamId, ids.HostId, int]]:
         """Yield fingerprint, upstream, origin and its epoch of each."""
-        for mark, (upstream, generation) in list(self._held.items()):
-            if generation.valid:
-                yield mark, upstream, generation.origin, generation.epoch
+        for mark, held in list(self._held.items()):
+            item = held.first_valid()
+            if item is not None:
+                from_ = item.generation
+                yield mark, item.upstream, from_.origin, from_.epoch
 
     def sweep(
         self, present: abc.Container[ids.HostId], keep_s: float, now: float
@@ -306,6 +336,6 @@
                 del self._origins[host]
                 for generation in known.generations.values():
                     generation.valid = False
-        ended = [m for m, item in self._held.items() if not item[1].valid]
+        ended = [m for m, i in self._held.items() if not i.first_valid()]
         for mark in ended:
             del self._held[mark]
