--- a/foxtailworks/placement/_exchange.py
+++ b/foxtailworks/placement/_exchange.py
@@ -98,16 +98,18 @@
             host = route.returned
         if host is None or not self._ring.is_present(host):
             return None
-        goal = self._incoming.goal_of(host)
-        if goal is not None and goal.hosts == self._ring.view_hash:
+        if self._is_synced(host):
             return None
         if self._peers.started_within(host, self._cfg.ask_s, now):
             return None
         return host
 
-    def is_mute(self, host: ids.HostId) -> bool:
-        """Return whether ``host`` can't know that this one has started."""
-        return self._starting and not self._peers.is_greeted(host)
+    def _is_synced(self, host: ids.HostId) -> bool:
+        """Return whether ``host`` told all, in terms of known views."""
+        goal = self._incoming.goal_of(host)
+        if goal is None or goal.hosts != self._ring.view_hash:
+            return False
+        return self._book.knows_view(goal.upstreams)
 
     @property
     def starting(self) -> bool:
@@ -121,8 +123,8 @@
         return self._peers.started_within(host, self._cfg.ask_s, now)
 
     def base_view(self, route: _hosts.Route) -> int:
-        """Return the set of upstreams by which a dead owner placed."""
-        if route.prior is None or self._ring.is_present(route.prior):
+        """Return the set of upstreams by which the last owner placed."""
+        if route.prior is None:
             return self._book.view_hash
         goal = self._incoming.goal_of(route.prior)
         if goal is None or not self._book.knows_view(goal.upstreams):
@@ -136,10 +138,16 @@
         target = self._table.target(route)
         if target is None:
             return
-        if self._table.is_exception(key, upstream, route):
-            mark = _hashing.fingerprint(key)
+        mark = _hashing.fingerprint(key)
+        is_exception = self._table.is_exception(key, upstream, route)
+        if is_exception or self._tells_of(target, mark):
             self._out(target).add(mark, upstream.view.upstream)
 
+    def _tells_of(self, host: ids.HostId, mark: int) -> bool:
+        """Return whether ``host`` is told of a flow, maybe wrongly now."""
+        out = self._outgoing.get(host)
+        return out is not None and out.tells_of(mark)
+
     def is_whole(self) -> bool:
         """Return whether every other host knows what it should."""
         if self._dirty or self._scan is not None:
@@ -201,8 +209,7 @@
         if not self._starting:
             return
         peers = self._ring.peers()
-        goals = [self._incoming.goal_of(host) for host in peers]
-        told = all(g and g.hosts == self._ring.view_hash for g in goals)
+        told = all(self._is_synced(host) for host in peers)
         if now < self._started + self._cfg.ask_s and not (peers and told):
             return
         self._starting = False
@@ -265,7 +272,7 @@
         peers = self._ring.peers()
         self._incoming.sweep(peers, self._ring.settle_s, self._now)
         self._gather_held(wanted)
-        yield from self._walk.run(wanted, self._is_handed_over)
+        yield from self._walk.run(wanted, self._is_handed_over, self._tells_of)
         for host in self._ring.peers():
             self._out(host).set_all(wanted.get(host, {}), goal)
 
--- a/foxtailworks/placement/_handover.py
+++ b/foxtailworks/placement/_handover.py
@@ -80,6 +80,10 @@
         """How many exceptions the other host is told of."""
         return len(self._told)
 
+    def tells_of(self, mark: int) -> bool:
+        """Return whether the other host is told of a flow."""
+        return mark in self._told
+
     def restart(self) -> None:
         """Forget what was told: the other host has started empty."""
         self._generation = next(self._numbers)
@@ -91,8 +95,13 @@
 
     def add(self, mark: int, upstream: ids.UpstreamId) -> None:
         """Tell of one more exception."""
-        if self._told.get(mark) == upstream:
+        before = self._told.get(mark)
+        if before == upstream:
             return
+        if before in self._pending:
+            self._pending[before].discard(mark)
+            if not self._pending[before]:
+                del self._pending[before]
         self._told[mark] = upstream
         self._pending.setdefault(upstream, set()).add(mark)
 
@@ -191,6 +200,7 @@
 
     upstream: ids.UpstreamId
     generation: _Generation
+    seq: int
     older: "_Held | None" = None
 
     def first_valid(self) -> "_Held | None":
@@ -203,10 +213,13 @@
     def after(self, older: "_Held | None") -> "_Held":
         """Return this one, with the one of another host behind it.
 
-        No more than two are kept: the heir's and the last owner's.
+        Of one host's the later sent counts, not the later received.  No
+        more than two are kept: the heir's and the last owner's.
         """
-        if older is None or older.generation.origin == self.generation.origin:
+        if older is None:
             return self
+        if older.generation.origin == self.generation.origin:
+            return self if self.seq > older.seq else older
         older = dataclasses.replace(older, older=None)
         return dataclasses.replace(self, older=older)
 
@@ -269,7 +282,7 @@
             return True
         if key not in known.generations:
             known.generations[key] = _Generation(origin, msg.epoch)
-        item = _Held(msg.upstream, known.generations[key])
+        item = _Held(msg.upstream, known.generations[key], msg.seq)
         for mark in _digest.unpack(msg.flows):
             if len(self._held) >= self._cap and mark not in self._held:
                 self.dropped += 1
--- a/foxtailworks/placement/_peers.py
+++ b/foxtailworks/placement/_peers.py
@@ -54,10 +54,6 @@
         """Note that ``host`` knows the own incarnation."""
         self._greeted.add(host)
 
-    def is_greeted(self, host: ids.HostId) -> bool:
-        """Return whether ``host`` knows the own incarnation."""
-        return host in self._greeted
-
     def hosts_changed(self) -> None:
         """Forget hosts that are gone."""
         self._greeted.intersection_update(self._ring.peers())
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -154,15 +154,11 @@
         """Decide for a flow that isn't in the table or is in doubt."""
         route = self._ring.route(_hashing.host_slot(key))
         known = self._known(service, key)
-        to = self._next_hop(key, route, known, relayed_from, hops, now)
+        to = self._next_hop(key, route, known, relayed_from, now)
         if to is not None and hops < MAX_HOPS:
             self.counts.relayed += 1
             return _types.RelayTo(to, hops + 1)
-        if (
-            known is None
-            and relayed_from
-            and self._exchange.is_mute(relayed_from)
-        ):
+        if known is None and to is not None and self._exchange.starting:
             # Lost, as on the wire: placed now it might be moved.
             return _types.Refuse(errors.Code.OWNER_STARTING)
         if known is None:
@@ -179,7 +175,6 @@
         route: _hosts.Route,
         known: _flows.Flow | None,
         relayed_from: ids.HostId | None,
-        hops: int,
         now: float,
     ) -> ids.HostId | None:
         """Return the host to pass a packet to, None to keep it."""
@@ -189,7 +184,7 @@
             if ask != relayed_from:
                 return ask
             # A host that starts asks also the one that relayed to it.
-            return ask if self._exchange.starting and hops == 1 else None
+            return ask if self._exchange.starting else None
         if known is not None or owner is None:
             return None
         if owner != relayed_from:
--- a/foxtailworks/placement/_walk.py
+++ b/foxtailworks/placement/_walk.py
@@ -45,16 +45,18 @@
         self,
         wanted: Wanted,
         is_handed_over: abc.Callable[[ids.HostId | None], bool],
+        tells_of: abc.Callable[[ids.HostId, int], bool],
     ) -> abc.Iterator[None]:
         """Add to ``wanted`` what other hosts should know of the flows.
 
         :param is_handed_over: whether an owner knows all it should
+        :param tells_of: whether a host was told of a flow before
         """
         self._gather_past(wanted)
         keys = list(self._table.flows)
         for start in range(0, len(keys), self._cfg.scan_per_tick):
             for key in keys[start : start + self._cfg.scan_per_tick]:
-                self._visit(key, wanted, is_handed_over)
+                self._visit(key, wanted, is_handed_over, tells_of)
             yield
 
     def _gather_past(self, wanted: Wanted) -> None:
@@ -73,6 +75,7 @@
         key: int,
         wanted: Wanted,
         is_handed_over: abc.Callable[[ids.HostId | None], bool],
+        tells_of: abc.Callable[[ids.HostId, int], bool],
     ) -> None:
         """Look at one flow."""
         flow = self._table.flows.get(key)
@@ -87,7 +90,7 @@
         mark = _hashing.fingerprint(key)
         upstream = flow.upstream.view.upstream
         target = self._table.target(route)
-        if target is not None and is_exception:
+        if target is not None and (is_exception or tells_of(target, mark)):
             wanted.setdefault(target, {})[mark] = upstream
         if is_handed_over(route.owner):
             del self._table.flows[key]
