--- a/foxtailworks/placement/_handover.py
+++ b/foxtailworks/placement/_handover.py
@@ -80,6 +80,10 @@
         """How many exceptions the other host is told of."""
         return len(self._told)
 
+    def tells_of(self, mark: int) -> bool:
+        """Return whether the other host is told of a flow."""
+        return mark in self._told
+
     def restart(self) -> None:
         """Forget what was told: the other host has started empty."""
         self._generation = next(self._numbers)
@@ -91,8 +95,13 @@
 
     def add(self, mark: int, upstream: ids.UpstreamId) -> None:
         """Tell of one more exception."""
-        if self._told.get(mark) == upstream:
+        before = self._told.get(mark)
+        if before == upstream:
             return
+        if before in self._pending:
+            self._pending[before].discard(mark)
+            if not self._pending[before]:
+                del self._pending[before]
         self._told[mark] = upstream
         self._pending.setdefault(upstream, set()).add(mark)
 
@@ -181,9 +190,40 @@
     """Shared by all exceptions that came in one generation."""
 
     origin: ids.HostId
+    epoch: int
     valid: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _Held:
+    """Where a flow stands, by one host; shared by all of one message."""
+
+    upstream: ids.UpstreamId
+    generation: _Generation
+    seq: int
+    older: "_Held | None" = None
+
+    def first_valid(self) -> "_Held | None":
+        """Return the latest that hasn't ended."""
+        item: _Held | None = self
+        while item is not None and not item.generation.valid:
+            item = item.older
+        return item
+
+    def after(self, older: "_Held | None") -> "_Held":
+        """Return this one, with the one of another host behind it.
+
+        Of one host's the later sent counts, not the later received.  No
+        more than two are kept: the heir's and the last owner's.
+        """
+        if older is None:
+            return self
+        if older.generation.origin == self.generation.origin:
+            return self if self.seq > older.seq else older
+        older = dataclasses.replace(older, older=None)
+        return dataclasses.replace(self, older=older)
+
+
 @dataclasses.dataclass(slots=True)
 class _Origin:
     """What came from one host."""
@@ -204,7 +244,7 @@
 
     def __init__(self, cap: int) -> None:
         self._cap = cap
-        self._held: dict[int, tuple[ids.UpstreamId, _Generation]] = {}
+        self._held: dict[int, _Held] = {}
         self._origins: dict[ids.HostId, _Origin] = {}
         self.dropped = 0
         """Exceptions that found no room."""
@@ -216,9 +256,8 @@
     def lookup(self, mark: int) -> ids.UpstreamId | None:
         """Return where the flow with this fingerprint stands."""
         found = self._held.get(mark)
-        if found is None or not found[1].valid:
-            return None
-        return found[0]
+        item = found.first_valid() if found is not None else None
+        return item.upstream if item is not None else None
 
     def goal_of(self, origin: ids.HostId) -> Goal | None:
         """Return what the last whole generation of a host refers to."""
@@ -242,13 +281,16 @@
         if key < known.whole:
             return True
         if key not in known.generations:
-            known.generations[key] = _Generation(origin)
-        item = (msg.upstream, known.generations[key])
+            known.generations[key] = _Generation(origin, msg.epoch)
+        item = _Held(msg.upstream, known.generations[key], msg.seq)
         for mark in _digest.unpack(msg.flows):
             if len(self._held) >= self._cap and mark not in self._held:
                 self.dropped += 1
                 continue
-            self._held[mark] = item
+            older = self._held.get(mark)
+            if older is not None:
+                older = older.first_valid()
+            self._held[mark] = item.after(older)
         return True
 
     def take_synced(self, origin: ids.HostId, msg: _messages.Synced) -> bool:
@@ -285,11 +327,13 @@
 
     def items(
         self,
-    ) -> abc.Iterator[tuple[int, ids.UpstreamId, ids.HostId]]:
-        """Yield fingerprint, upstream and origin of each exception."""
-        for mark, (upstream, generation) in list(self._held.items()):
-            if generation.valid:
-                yield mark, upstream, generation.origin
+    ) -> abc.Iterator[tuple[int, ids.UpstreamId, ids.HostId, int]]:
+        """Yield fingerprint, upstream, origin and its epoch of each."""
+        for mark, held in list(self._held.items()):
+            item = held.first_valid()
+            if item is not None:
+                from_ = item.generation
+                yield mark, item.upstream, from_.origin, from_.epoch
 
     def sweep(
         self, present: abc.Container[ids.HostId], keep_s: float, now: float
@@ -305,6 +349,6 @@
                 del self._origins[host]
                 for generation in known.generations.values():
                     generation.valid = False
-        ended = [m for m, item in self._held.items() if not item[1].valid]
+        ended = [m for m, i in self._held.items() if not i.first_valid()]
         for mark in ended:
             del self._held[mark]
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -168,6 +168,9 @@
         if to is not None and hops < MAX_HOPS:
             self.counts.relayed += 1
             return _types.RelayTo(to, hops + 1)
+        if known is None and to is not None and self._exchange.starting:
+            # Lost, as on the wire: placed now it might be moved.
+            return _types.Refuse(errors.Code.OWNER_STARTING)
         if known is None:
             return self._place(service, key, route, now)
         told = self._told(service, key)
@@ -188,14 +191,17 @@
         owner = route.owner
         if owner == self._me:
             ask = self._exchange.whom_to_ask(route, now)
-            return ask if ask != relayed_from else None
+            if ask != relayed_from:
+                return ask
+            # A host that starts asks also the one that relayed to it.
+            return ask if self._exchange.starting else None
         if known is not None or owner is None:
             return None
         if owner != relayed_from:
             return owner
         # The owner asks what is known here of the flow.
         is_told = self._exchange.lookup(key) is not None
-        if is_told or self._exchange.is_starting(owner, now):
+        if is_told or self._exchange.is_new(owner, now):
             return None
         return owner
 
