Pass contracts on between entry hosts

Cause: only a host's own link to a keeper brought it a version; one that starts while no keeper is reachable had none. Change: the distribution core takes keepers' updates, pushes them along its tree and compares versions.

--- a/foxtailworks/entry/_cores.py
+++ b/foxtailworks/entry/_cores.py
@@ -19,6 +19,7 @@
     **placement.MESSAGES,
     **requests.MESSAGES,
     **limits.MESSAGES,
+    **contracts.SPREAD_MESSAGES,
 }
 
 
@@ -40,6 +41,9 @@
             incarnation=incarnation,
         )
         self.contracts = contracts.View()
+        self.distribution = contracts.Distribution(
+            cfg.host, cfg.zone, self.contracts, rng, now
+        )
         self.directory = upstreams.Directory(cfg.host, cfg.zone, rng, now)
         seeds = tuple(item for item in cfg.seeds if item != cfg.peer_address)
         self.members = membership.Membership(
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -90,7 +90,11 @@
             self.cores.directory, metrics, self.perform, clock
         )
         self.subscription = _keepers.Subscription(
-            cfg, self.cores.members.me, self.cores.contracts, rng, self._apply
+            cfg,
+            self.cores.members.me,
+            self.cores.contracts,
+            rng,
+            self._take_update,
         )
         self._route_messages()
 
@@ -104,6 +108,7 @@
             upstreams.MESSAGES.values(),
             functools.partial(self._feed, self.cores.directory.on_message),
         )
+        self._peers.on(contracts.SPREAD_MESSAGES.values(), self._take_spread)
         self._peers.on(placement.MESSAGES.values(), self._take_placement)
         self._peers.on(requests.MESSAGES.values(), self.requests.on_message)
         self._peers.on(limits.MESSAGES.values(), self.requests.gate.on_message)
@@ -119,6 +124,18 @@
         """Give a message to a core and carry out what it asks for."""
         self.perform(on_message(src, msg, self._clock()))
 
+    def _take_spread(self, src: ids.Address, msg: object) -> None:
+        """Give a message about versions to the distribution."""
+        host = self.cores.views.host_at(src)
+        if host is not None:
+            now = self._clock()
+            self.perform(self.cores.distribution.on_message(host, msg, now))
+
+    def _take_update(self, update: contracts.Update) -> None:
+        """Give a keeper's update to the distribution."""
+        now = self._clock()
+        self.perform(self.cores.distribution.on_update(update, now))
+
     def _take_placement(self, src: ids.Address, msg: object) -> None:
         """Give a message to the placer, by the sender's name."""
         host = self.cores.views.host_at(src)
@@ -151,6 +168,18 @@
         if address is not None:
             self._peers.send(address, action.message)
 
+    @_perform.register
+    def _pass_on(self, action: contracts.SendToHost) -> None:
+        """Pass a version on to a host."""
+        address = self.cores.views.address_of(action.to)
+        if address is not None:
+            self._peers.send(address, action.msg)
+
+    @_perform.register
+    def _put_in_force(self, action: contracts.PutInForce) -> None:
+        """Follow a new version of the contracts."""
+        self._apply(action.update)
+
     @_perform.register
     def _host_changed(self, action: membership.HostChanged) -> None:
         """Log a host's change."""
@@ -325,7 +354,11 @@
         self.perform(cores.members.on_tick(now))
         if cores.views.refresh(now):
             self.requests.set_alive()
+            cores.distribution.set_peers(
+                {item.id: item.zone for item in cores.members.live()}
+            )
         self.perform(cores.placer.on_tick(now))
+        self.perform(cores.distribution.on_tick(now))
         self.requests.on_tick(now)
         if self.is_ready():
             self._fabric.on_tick(now)
--- a/foxtailworks/entry/_keepers.py
+++ b/foxtailworks/entry/_keepers.py
@@ -24,7 +24,7 @@
 class Subscription:
     """Keeps the contracts and the roster up to date.
 
-    :param changed: called after each version that was put in force
+    :param take: called with each update; puts it in force when it is new
     """
 
     def __init__(
@@ -33,13 +33,13 @@
         me: membership.Host,
         view: contracts.View,
         rng: random.Random,
-        changed: abc.Callable[[contracts.Update], None],
+        take: abc.Callable[[contracts.Update], None],
     ) -> None:
         self._cfg = cfg
         self._me = me
         self._view = view
         self._rng = rng
-        self._changed = changed
+        self._take_update = take
 
     async def run(self) -> None:
         """Stay subscribed to one keeper after another."""
@@ -85,11 +85,12 @@
             await asyncio.sleep(REPORT_S)
 
     async def _take(self, link: links.Link, msg: object) -> None:
-        """Put an update in force, or ask again after a gap."""
+        """Take an update, or ask again after a gap."""
         if not isinstance(msg, contracts.Update):
             return
-        if self._view.apply(msg):
-            self._changed(msg)
+        before = self._view.version
+        self._take_update(msg)
+        if self._view.version > before:
             await link.send(contracts.InForce(self._me.id, self._view.version))
-        elif msg.since > self._view.version:
+        elif msg.since > before:
             await self._subscribe(link)
