--- a/foxtailworks/contracts/_view.py
+++ b/foxtailworks/contracts/_view.py
@@ -1,5 +1,6 @@
 """The contracts and the roster as of one version."""
 
+from collections import abc
 import dataclasses
 
 from foxtailworks.contracts import _edits
@@ -63,6 +64,31 @@
             version, self.version, changed, self.roster if newer else None
         )
 
+    def parts(
+        self, version: ids.Version, limit_bytes: int
+    ) -> abc.Iterator[Update]:
+        """Yield what a receiver lacks, in updates of bounded size.
+
+        Items go in the order of their versions, so that after each part the
+        receiver lacks exactly the items of later versions.
+        """
+        lacking = self.since(version)
+        roster = lacking.roster
+        part: list[Versioned] = []
+        size = 0
+        since = version
+        for item in sorted(lacking.contracts, key=lambda i: i.version):
+            if part and size + len(item.document) > limit_bytes:
+                end = part[-1].version
+                due = roster if roster and roster.epoch <= end else None
+                yield Update(since, end, tuple(part), due)
+                roster = None if due else roster
+                since, part, size = end, [], 0
+            part.append(item)
+            size += len(item.document)
+        if lacking.version > since:
+            yield Update(since, lacking.version, tuple(part), roster)
+
     def put(self, item: Versioned) -> None:
         """Take a newer text of one contract."""
         known = self._contracts.get(item.customer)
--- a/foxtailworks/contracts/tests/test_catalogue.py
+++ b/foxtailworks/contracts/tests/test_catalogue.py
@@ -130,6 +130,13 @@
         later.apply(catalogue.view.since(ids.ZERO_VERSION))
         views.append(later)
     for view in views:
+        pieces = contracts.View()
+        pieces.apply(view.since(ids.ZERO_VERSION))
+        for part in catalogue.view.parts(view.version, 1):
+            assert pieces.apply(part) and len(part.contracts) <= 1
+        assert pieces.contracts == catalogue.view.contracts
+        assert pieces.roster == catalogue.view.roster
+        assert pieces.version == catalogue.view.version
         old = view.version
         took = view.apply(catalogue.view.since(old))
         assert took == (old < catalogue.view.version)
--- a/foxtailworks/journal/_files.py
+++ b/foxtailworks/journal/_files.py
@@ -50,11 +50,13 @@
     """A folder of the disk, locked for one process.
 
     :param folder: created when it is missing
+    :param synced: false only in tests; a crash may then lose anything
     :raises FoxtailError: ``JOURNAL_UNWRITABLE``
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, synced: bool = True) -> None:
         self._folder = folder
+        self._fsync = os.fsync if synced else _no_sync
         self._open: dict[str, int] = {}
         try:
             folder.mkdir(parents=True, exist_ok=True)
@@ -81,7 +83,7 @@
         with open(self._folder / name, "wb") as file:
             file.write(data)
             file.flush()
-            os.fsync(file.fileno())
+            self._fsync(file.fileno())
 
     def append(self, name: str, data: bytes) -> None:
         """Add to the end of a file, without a sync."""
@@ -92,13 +94,13 @@
 
     def sync(self, name: str) -> None:
         """Sync the content of a file."""
-        os.fsync(self._descriptor(name))
+        self._fsync(self._descriptor(name))
 
     def truncate(self, name: str, size: int) -> None:
         """Cut a file and sync it."""
         fd = self._descriptor(name)
         os.ftruncate(fd, size)
-        os.fsync(fd)
+        self._fsync(fd)
 
     def rename(self, old: str, new: str) -> None:
         """Give a file another name."""
@@ -115,7 +117,7 @@
         """Sync creations, renames and removals."""
         fd = os.open(self._folder, os.O_RDONLY)
         try:
-            os.fsync(fd)
+            self._fsync(fd)
         finally:
             os.close(fd)
 
@@ -135,6 +137,10 @@
         return self._open[name]
 
 
+def _no_sync(_fd: int) -> None:
+    """Stand in for a sync."""
+
+
 def _lock(path: pathlib.Path) -> int:
     """Lock a file for this process until it ends."""
     fd = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
--- a/foxtailworks/keeper/_cli.py
+++ b/foxtailworks/keeper/_cli.py
@@ -82,11 +82,14 @@
 
     for item in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(item, on_signal)
-    program = _program.Program(cfg, random.Random(), loop.time)
-    async with program.opened(stop):
-        _EVENTS.info("ready", keeper=cfg.keeper, zone=cfg.zone)
-        await stop.wait()
-        await program.leave()
+    with observe.open_metrics(
+        cfg.statsd, f"foxtail.keeper.{cfg.keeper}"
+    ) as metrics:
+        program = _program.Program(cfg, random.Random(), metrics, loop.time)
+        async with program.opened(stop):
+            _EVENTS.info("ready", keeper=cfg.keeper, zone=cfg.zone)
+            await stop.wait()
+            await program.leave()
     _EVENTS.info("stopped", keeper=cfg.keeper)
     if program.failed is not None:
         raise program.failed
--- a/foxtailworks/keeper/_entries.py
+++ b/foxtailworks/keeper/_entries.py
@@ -1,5 +1,8 @@
 """Entry hosts that are subscribed, and what they have in force."""
 
+import asyncio
+from collections import abc
+import contextlib
 import dataclasses
 
 from foxtailworks import contracts
@@ -8,6 +11,11 @@
 from foxtailworks import links
 
 SILENT_S = 6.0
+"""A host without a report for so long isn't reachable."""
+MAX_REPORTS = 4096
+"""Hosts whose reports are kept; more are dropped."""
+PART_BYTES = 512 << 10
+"""Contracts' texts in one update on a link."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,68 +24,108 @@
 
     version: ids.Version
     at: float
-    behind_since: float | None = None
+    behind_since: float | None
+
+
+class _Subscriber:
+    """Feeds one host; one that doesn't read delays nobody else."""
+
+    def __init__(
+        self,
+        link: links.Link,
+        have: ids.Version,
+        view: abc.Callable[[], contracts.View],
+    ) -> None:
+        self.link = link
+        self._sent = have
+        self._view = view
+        self.wake = asyncio.Event()
+        self.wake.set()
+        self.task = asyncio.ensure_future(self._keep_fed())
+
+    async def _keep_fed(self) -> None:
+        """Send what the host lacks, until its link ends."""
+        with contextlib.suppress(errors.FoxtailError):
+            while True:
+                await self.wake.wait()
+                self.wake.clear()
+                for update in self._view().parts(self._sent, PART_BYTES):
+                    await self.link.send(update)
+                    self._sent = update.version
 
 
 class Subscribers:
-    """Feeds updates to entry hosts and remembers their reports."""
+    """Feeds updates to entry hosts and remembers their reports.
 
-    def __init__(self) -> None:
-        self._links: dict[ids.HostId, links.Link] = {}
-        self._sent: dict[ids.HostId, ids.Version] = {}
+    :param view: returns the contracts and the roster of this keeper
+    """
+
+    def __init__(self, view: abc.Callable[[], contracts.View]) -> None:
+        self._view = view
+        self._subscribers: dict[ids.HostId, _Subscriber] = {}
         self._reports: dict[ids.HostId, _Report] = {}
 
     def add(
         self, msg: contracts.Subscribe, link: links.Link, now: float
     ) -> None:
-        """Take in a subscription."""
-        self._links[msg.host] = link
-        self._sent[msg.host] = msg.have_version
+        """Take in a subscription; it ends an older one of the host."""
+        self._drop(msg.host)
+        self._subscribers[msg.host] = _Subscriber(
+            link, msg.have_version, self._view
+        )
         self.report(contracts.InForce(msg.host, msg.have_version), now)
 
     def remove(self, link: links.Link) -> None:
         """Forget a link that ended."""
-        for host in [h for h, k in self._links.items() if k is link]:
-            del self._links[host]
+        for host, item in list(self._subscribers.items()):
+            if item.link is link:
+                self._drop(host)
+
+    def advance(self, version: ids.Version, now: float) -> None:
+        """Feed a new version; from now on others lag."""
+        for item in self._reports.values():
+            if item.version < version and item.behind_since is None:
+                item.behind_since = now
+        for sub in self._subscribers.values():
+            sub.wake.set()
 
     def report(self, msg: contracts.InForce, now: float) -> None:
         """Note what a host has in force."""
-        old = self._reports.get(msg.host)
-        since = old.behind_since if old is not None else None
+        known = self._reports.get(msg.host)
+        if known is None and len(self._reports) >= MAX_REPORTS:
+            self._forget_oldest()
+        since = known.behind_since if known else now
+        if msg.version >= self._view().version:
+            since = None
+        elif since is None:
+            since = now
         self._reports[msg.host] = _Report(msg.version, now, since)
 
     def line(
-        self, item: contracts.RosterHost, version: ids.Version, now: float
+        self, item: contracts.RosterHost, now: float
     ) -> contracts.HostLine:
         """Return one host's line of the status."""
         found = self._reports.get(item.host)
-        silent_s = now - found.at if found is not None else float(SILENT_S)
-        in_force = found.version if found is not None else ids.ZERO_VERSION
-        lags_s = 0.0
-        if found is not None:
-            if in_force >= version:
-                found.behind_since = None
-            elif found.behind_since is None:
-                found.behind_since = now
-            if found.behind_since is not None:
-                lags_s = now - found.behind_since
+        if found is None:
+            found = _Report(ids.ZERO_VERSION, now - SILENT_S, None)
+        since = found.behind_since
         return contracts.HostLine(
             host=item.host,
             zone=item.zone,
             address=item.address,
-            in_force=in_force,
-            lags_s=lags_s,
-            silent_s=silent_s,
-            reachable=silent_s < SILENT_S,
+            in_force=found.version,
+            lags_s=now - since if since is not None else 0.0,
+            silent_s=now - found.at,
+            reachable=now - found.at < SILENT_S,
         )
 
-    async def feed(self, view: contracts.View) -> None:
-        """Send each subscriber what it lacks."""
-        for host, link in list(self._links.items()):
-            if self._sent[host] < view.version:
-                update = view.since(self._sent[host])
-                self._sent[host] = view.version
-                try:
-                    await link.send(update)
-                except errors.FoxtailError:
-                    self._links.pop(host, None)
+    def _drop(self, host: ids.HostId) -> None:
+        """End the feeding of one host."""
+        old = self._subscribers.pop(host, None)
+        if old is not None:
+            old.task.cancel()
+
+    def _forget_oldest(self) -> None:
+        """Make room for a report."""
+        oldest = min(self._reports, key=lambda h: self._reports[h].at)
+        del self._reports[oldest]
--- a/foxtailworks/keeper/_operators.py
+++ b/foxtailworks/keeper/_operators.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import functools
 import time
 import typing
@@ -10,6 +11,7 @@
 from foxtailworks import contracts
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks.keeper import _messages
 
 if typing.TYPE_CHECKING:
     from foxtailworks.keeper import _program
@@ -59,6 +61,10 @@
     @_answer.register
     async def _put(self, msg: contracts.PutContract) -> object:
         """Accept or refuse an edit."""
+        try:
+            contracts.check_document(msg.customer, msg.document)
+        except errors.FoxtailError as exc:
+            return self._invalid(msg, exc)
         edit = contracts.Edit(
             msg.edit_id,
             msg.customer,
@@ -68,6 +74,16 @@
         )
         return _edit_answer(msg.ask, await self._program.decide(edit))
 
+    def _invalid(
+        self, msg: contracts.PutContract, exc: errors.FoxtailError
+    ) -> contracts.EditAnswer:
+        """Refuse a contract before it takes a place in the log."""
+        found = self._view.find(msg.customer)
+        current = found.version if found else ids.ZERO_VERSION
+        return contracts.EditAnswer(
+            msg.ask, msg.edit_id, int(exc.code), current, exc.detail
+        )
+
     @_answer.register
     async def _roll_back(self, msg: contracts.RollbackContract) -> object:
         """Accept or refuse a rollback."""
@@ -141,16 +157,14 @@
             self._view.version,
             self._view.roster.epoch,
             self._keeper_lines(),
-            self._host_lines(self._view.version),
+            self._host_lines(),
         )
 
-    def _host_lines(
-        self, version: ids.Version
-    ) -> tuple[contracts.HostLine, ...]:
+    def _host_lines(self) -> tuple[contracts.HostLine, ...]:
         """Return the hosts of the roster."""
         now = self._clock()
         return tuple(
-            self._program.subscribers.line(item, version, now)
+            self._program.subscribers.line(item, now)
             for item in self._view.roster.hosts
         )
 
@@ -177,7 +191,7 @@
         await self._program.confirm_read()
         until = self._clock() + msg.timeout_s
         while True:
-            lines = self._host_lines(msg.version)
+            lines = self._host_lines()
             lagging = tuple(
                 item.host
                 for item in lines
@@ -237,35 +251,45 @@
     async def _learner(
         self, address: ids.Address, old: ids.KeeperId | None = None
     ) -> agreement.Member:
-        """Add the new keeper at ``address`` as a learner."""
+        """Add the new keeper at ``address`` as a learner.
+
+        A question that is asked again goes on where the first one ended.
+        """
         program = self._program
-        program.node.read(self._clock())
+        await program.confirm_read()
         program.peers.open(address)
         until = self._clock() + CHANGE_TIMEOUT_S
-        members = program.node.replica.membership
         while self._clock() < until:
-            for hello in program.peers.known.values():
-                is_new = hello.keeper != old and not members.find(hello.keeper)
-                if hello.address == address and is_new:
-                    member = agreement.Member(
-                        hello.keeper, hello.name, address, False
-                    )
-                    await program.change_members(members.put(member))
-                    return member
+            hello = program.peers.at(address)
+            if hello is not None and hello.keeper != old:
+                return await self._add_learner(hello)
             await asyncio.sleep(POLL_S)
         raise errors.FoxtailError(
             errors.Code.KEEPER_MISSING, "no new keeper answers there"
         )
 
+    async def _add_learner(self, hello: _messages.Hello) -> agreement.Member:
+        """Return the member that said hello, after adding it if need be."""
+        members = self._program.node.replica.membership
+        known = members.find(hello.keeper)
+        if known is not None:
+            return known
+        member = agreement.Member(
+            hello.keeper, hello.name, hello.address, voter=False
+        )
+        await self._program.change_members(members.put(member))
+        return member
+
     async def _make_voter(self, member: agreement.Member) -> None:
         """Let a learner vote once it has the whole log."""
         replica = self._program.node.replica
         until = self._clock() + CHANGE_TIMEOUT_S
         while self._clock() < until:
+            known = replica.membership.find(member.keeper)
+            if known is not None and known.voter:
+                return
             if replica.progress_of(member.keeper) >= replica.commit_index:
-                voter = agreement.Member(
-                    member.keeper, member.name, member.address, True
-                )
+                voter = dataclasses.replace(member, voter=True)
                 members = replica.membership.put(voter)
                 await self._program.change_members(members)
                 return
--- a/foxtailworks/keeper/_peers.py
+++ b/foxtailworks/keeper/_peers.py
@@ -14,6 +14,7 @@
 RETRY_S = 0.2
 LINK_TIMEOUT_S = 2.0
 MAX_QUEUED = 256
+MAX_KNOWN = 64
 
 
 class PeerLinks:
@@ -41,18 +42,36 @@
         """What each keeper said of itself last."""
         return self._known
 
+    def at(self, address: ids.Address) -> _messages.Hello | None:
+        """Return what the keeper at an address said of itself."""
+        found = (h for h in self._known.values() if h.address == address)
+        return next(found, None)
+
     def is_linked(self, address: ids.Address) -> bool:
         """Tell whether the link to a keeper is open."""
         return address in self._linked
 
     def learn(self, hello: _messages.Hello) -> None:
-        """Take in what a keeper says of itself."""
+        """Take in what a keeper says of itself.
+
+        A new identity at an address ends the one that lived there.
+        """
+        for keeper, old in list(self._known.items()):
+            if old.address == hello.address:
+                del self._known[keeper]
+        if len(self._known) >= MAX_KNOWN:
+            del self._known[next(iter(self._known))]
         self._known[hello.keeper] = hello
         self.open(hello.address)
 
+    def forget(self, hello: _messages.Hello) -> None:
+        """Forget what was said on a link that ended, unless said anew."""
+        if self._known.get(hello.keeper) is hello:
+            del self._known[hello.keeper]
+
     def open(self, address: ids.Address) -> None:
         """Begin to dial an address, once."""
-        if address not in self._tasks:
+        if address not in self._tasks and len(self._tasks) < MAX_KNOWN:
             self._queues[address] = asyncio.Queue(MAX_QUEUED)
             task = asyncio.ensure_future(self._keep_linked(address))
             self._tasks[address] = task
--- a/foxtailworks/keeper/_program.py
+++ b/foxtailworks/keeper/_program.py
@@ -25,6 +25,8 @@
 # Joins within this time become one change of the roster.
 COLLECT_JOINS_S = 1.0
 LEAVE_S = 0.2
+# An edit or a read that waits longer for a majority is given up.
+DECIDE_S = 5.0
 
 _EVENTS = observe.Events("keeper")
 
@@ -39,6 +41,7 @@
 
     :param cfg: settings of this keeper
     :param rng: spreads elections
+    :param metrics: counts what happens on links
     :param clock: monotonic, seconds
     """
 
@@ -46,15 +49,19 @@
         self,
         cfg: settings.KeeperSettings,
         rng: random.Random,
+        metrics: observe.Metrics,
         clock: abc.Callable[[], float],
     ) -> None:
         self._cfg = cfg
         self._clock = clock
-        files = journal.DiskFiles(cfg.data_folder)
+        self._metrics = metrics
+        files = journal.DiskFiles(cfg.data_folder, synced=cfg.fsync)
         disk = journal.Journal(files, _new_keeper)
         self.node = _node.Node(disk, rng, clock())
         self.peers = _peers.PeerLinks(cfg.tls, self._hello)
-        self.subscribers = _entries.Subscribers()
+        self.subscribers = _entries.Subscribers(
+            lambda: self.node.catalogue.view
+        )
         self.operators = _operators.Operators(self, clock)
         self._decisions: dict[int, asyncio.Future[contracts.Outcome | None]]
         self._decisions = {}
@@ -82,6 +89,7 @@
                 self.node.flush(self._clock())
                 events = self.node.take_events()
                 if not events:
+                    self._feed()
                     return
                 for event in events:
                     self._on_event(event)
@@ -172,7 +180,17 @@
         fut = asyncio.get_running_loop().create_future()
         self._decisions[index] = fut
         self.pump()
-        return typing.cast(contracts.Outcome | None, await fut)
+        try:
+            async with asyncio.timeout(DECIDE_S):
+                return typing.cast(contracts.Outcome | None, await fut)
+        except TimeoutError as exc:
+            raise errors.FoxtailError(
+                errors.Code.EDIT_UNKNOWN,
+                "no majority answered in time; resend with the same edit id",
+            ) from exc
+        finally:
+            if self._decisions.get(index) is fut:
+                del self._decisions[index]
 
     async def confirm_read(self) -> None:
         """Wait until this keeper's state is known not to be stale.
@@ -183,27 +201,38 @@
         fut = asyncio.get_running_loop().create_future()
         self._reads[number] = fut
         self.pump()
-        if not await fut:
+        try:
+            async with asyncio.timeout(DECIDE_S):
+                ready = await fut
+        except TimeoutError as exc:
+            raise errors.FoxtailError(
+                errors.Code.NO_QUORUM, "no majority confirmed the read"
+            ) from exc
+        finally:
+            self._reads.pop(number, None)
+        if not ready:
             raise errors.FoxtailError(
-                errors.Code.NOT_LEADER, "another keeper leads"
+                errors.Code.NOT_LEADER, "this keeper no longer leads"
             )
 
     # Links.
 
     async def serve(self, link: links.Link) -> None:
         """Take the messages of one link."""
-        src: ids.KeeperId | None = None
+        hello: _messages.Hello | None = None
         try:
             async for msg in link:
                 if isinstance(msg, _messages.Hello):
-                    src = msg.keeper
+                    hello = msg
                     self.peers.learn(msg)
-                elif src is not None:
-                    self._take_peer(src, msg)
+                elif hello is not None:
+                    self._take_peer(hello.keeper, msg)
                 else:
                     await self._take(link, msg)
         finally:
             self.subscribers.remove(link)
+            if hello is not None:
+                self.peers.forget(hello)
 
     def _take_peer(self, src: ids.KeeperId, msg: typing.Any) -> None:
         """Take a message of another keeper."""
@@ -222,16 +251,18 @@
         if isinstance(msg, contracts.Subscribe):
             self.subscribers.add(msg, link, self._clock())
             self._note_join(msg)
-            await self.subscribers.feed(self.node.catalogue.view)
         elif isinstance(msg, contracts.InForce):
-            self._note_report(msg)
+            self._note_reports(contracts.InForceReports((msg,)))
+        elif isinstance(msg, contracts.InForceReports):
+            self._note_reports(msg)
         else:
             await link.send(await self.operators.answer(msg))
 
-    def _note_report(self, msg: contracts.InForce) -> None:
-        """Note what a host has in force, and tell the other keepers."""
-        self.subscribers.report(msg, self._clock())
-        self._tell_others(contracts.InForceReports((msg,)))
+    def _note_reports(self, msg: contracts.InForceReports) -> None:
+        """Note what hosts have in force, and tell the other keepers."""
+        for item in msg.reports:
+            self.subscribers.report(item, self._clock())
+        self._tell_others(msg)
 
     def _tell_others(self, msg: object) -> None:
         """Send a message to every other keeper."""
@@ -269,8 +300,9 @@
             _messages.CODEC,
             self.serve,
             self._cfg.tls,
+            self._metrics,
         ):
-            task = asyncio.ensure_future(self._tick(stop))
+            task = asyncio.ensure_future(self._run(stop))
             try:
                 yield
             finally:
@@ -278,24 +310,36 @@
                 await self.peers.close()
                 self.node.disk.close()
 
-    async def _tick(self, stop: asyncio.Event) -> None:
-        """Let time pass; a fault of the disk ends the program."""
+    async def _run(self, stop: asyncio.Event) -> None:
+        """Let time pass until told to stop; any fault ends the program."""
+        try:
+            await self._tick()
+        except Exception as exc:
+            self.failed = self.failed or errors.FoxtailError(
+                errors.Code.INTERNAL, "a fault of the keeper", reason=repr(exc)
+            )
+        stop.set()
+
+    async def _tick(self) -> None:
+        """Let time pass."""
         while self.failed is None:
             now = self._clock()
             self._found_if_first(now)
             self.node.on_tick(now)
             self.pump()
             self._change_roster(now)
-            await self._spread()
+            self._link_members()
             await asyncio.sleep(TICK_S)
-        stop.set()
 
-    async def _spread(self) -> None:
-        """Feed subscribers and link with members as the log tells."""
-        view = self.node.catalogue.view
-        if view.version != self._fed:
-            self._fed = view.version
-            await self.subscribers.feed(view)
+    def _feed(self) -> None:
+        """Wake the subscribers' feeders after each new version."""
+        version = self.node.catalogue.view.version
+        if version != self._fed:
+            self._fed = version
+            self.subscribers.advance(version, self._clock())
+
+    def _link_members(self) -> None:
+        """Dial the members that the log names."""
         for member in self.node.replica.membership.members:
             if member.keeper != self.node.replica.keeper:
                 self.peers.open(member.address)
