--- a/foxtailworks/bench/judge.py
+++ b/foxtailworks/bench/judge.py
@@ -141,6 +141,17 @@
     return tuple(standin.read_records(sorted(folder.glob(pattern)), kind))
 
 
+def judge_folder(
+    folder: pathlib.Path, requests: int, flows: int, processes: int
+) -> tuple[Verdict, tuple[str, ...]]:
+    """Judge a run's folder; return also what was falsely called not run."""
+    calls = _read(folder, "calls-*.jsonl", standin.CallRecord)
+    runs = _read(folder, "runs-*.jsonl", standin.RunRecord)
+    seen = _read(folder, "flows-*.jsonl", standin.FlowRecord)
+    verdict = judge(calls, runs, seen, requests, flows, processes)
+    return verdict, false_not_run(calls, runs)
+
+
 def main(
     folder: pathlib.Path,
     requests: int = 0,
@@ -148,13 +159,8 @@
     processes: int = 0,
 ) -> None:
     """Print the verdict as one line of JSON; fail when it is bad."""
-    calls = _read(folder, "calls-*.jsonl", standin.CallRecord)
-    runs = _read(folder, "runs-*.jsonl", standin.RunRecord)
-    seen = _read(folder, "flows-*.jsonl", standin.FlowRecord)
-    verdict = judge(calls, runs, seen, requests, flows, processes)
-    faults = list(verdict.faults())
-    for name in false_not_run(calls, runs):
-        faults.append(f"false_not_run:{name}")
+    verdict, false = judge_folder(folder, requests, flows, processes)
+    faults = [*verdict.faults(), *(f"false_not_run:{name}" for name in false)]
     if faults:
         print("faults: " + " ".join(faults), file=sys.stderr)
     print(json.dumps(dataclasses.asdict(verdict)))
--- a/foxtailworks/standin/_requests.py
+++ b/foxtailworks/standin/_requests.py
@@ -17,7 +17,10 @@
 
 BODY_DEADLINE_S = 20.0
 BACKOFF_MAX_S = 3.0
-CALLERS = 4
+# A client has one confirmable message out to an address at a time, so a
+# lost one holds up all that it has to say.
+CALLERS = 48
+GIVE_UP_S = 45.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,7 +116,10 @@
         """Send until whole, refused for good, or out of attempts."""
         outcome = "lost"
         upstream = ""
+        until = time.monotonic() + GIVE_UP_S
         for attempt in range(1, self._plan.attempts + 1):
+            if time.monotonic() > until:
+                break
             outcome, upstream, pause_s = await self._send(request, post)
             if outcome in ("whole", "crossed", "refused"):
                 break
