Send counters to statsd once a second

No program called Metrics.flush, so counters reached statsd only when a program ended. open_metrics now flushes once a second on the loop that runs, by a timer of that loop. Weighed: a task in each program; the timer needs no code there.

Deliberate fault, the timer not started: the new test times out.

--- a/foxtailworks/observe/_metrics.py
+++ b/foxtailworks/observe/_metrics.py
@@ -1,5 +1,6 @@
 """Counters and gauges, sent to statsd in batches."""
 
+import asyncio
 from collections import abc
 import contextlib
 import typing
@@ -10,6 +11,9 @@
 from foxtailworks.observe import _names
 
 
+FLUSH_S = 1.0
+
+
 class Metrics:
     """Counts in memory; a flush sends what grew since the last one.
 
@@ -43,7 +47,7 @@
         return {k.value: v for k, v in self._totals.items() if v}
 
     def flush(self) -> None:
-        """Send growth and levels; call it about once a second."""
+        """Send what grew since the last flush, and the levels."""
         if self._client is None:
             return
         with self._client.pipeline() as pipe:
@@ -60,12 +64,38 @@
                 yield counter, total - self._sent[counter]
 
 
+class _Flusher:
+    """Flushes once a second on the running loop, if there is one."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Flush after a second, and so on."""
+        with contextlib.suppress(RuntimeError):
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(FLUSH_S, self._run)
+
+    def _run(self) -> None:
+        """Flush and go on."""
+        self._metrics.flush()
+        self.start()
+
+    def stop(self) -> None:
+        """Flush no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+
 @contextlib.contextmanager
 def open_metrics(
     address: ids.Address | None, prefix: str
 ) -> abc.Iterator[Metrics]:
     """Count for a program; send to ``address`` unless it is None.
 
+    Sends once a second while a loop runs, and at the end.
+
     :param prefix: stands before each name, such as ``foxtail.entry.lima-1``
     """
     if address is None:
@@ -75,8 +105,11 @@
         address.ip, address.port, prefix, ipv6=":" in address.ip
     )
     metrics = Metrics(client)
+    flusher = _Flusher(metrics)
+    flusher.start()
     try:
         yield metrics
         metrics.flush()
     finally:
+        flusher.stop()
         client.close()
--- a/foxtailworks/observe/tests/test_observe.py
+++ b/foxtailworks/observe/tests/test_observe.py
@@ -1,5 +1,6 @@
 """Logs stay one line, counts add up, histograms keep two digits."""
 
+import asyncio
 import io
 import socket
 
@@ -59,6 +60,38 @@
     assert metrics.totals() == {"packets.sent": 4}
 
 
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Jumps to the next timer in place of waiting for it."""
+
+    ahead_s = 0.0
+
+    def time(self):
+        return super().time() + self.ahead_s
+
+    def advance(self, seconds):
+        self.ahead_s += seconds
+
+
+def test_metrics_flush_by_themselves_while_a_loop_runs():
+    async def scenario(sock, address):
+        loop = asyncio.get_running_loop()
+        with observe.open_metrics(address, "foxtail") as metrics:
+            for _ in range(2):
+                metrics.count(observe.Counter.PACKETS_SENT)
+                loop.advance(1.1)
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                assert sock.recv(512) == b"foxtail.packets.sent:1|c"
+
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock,
+        asyncio.Runner(loop_factory=VirtualLoop) as runner,
+    ):
+        sock.bind(("127.0.0.1", 0))
+        sock.settimeout(5)
+        runner.run(scenario(sock, ids.Address(*sock.getsockname())))
+
+
 @FUZZ
 @hypothesis.given(
     st.lists(st.integers(-5, 80_000_000), min_size=1),
@@ -115,3 +148,17 @@
         found.extend(codec.decode(data).snapshots)
         more = page.more
     assert tuple(found) == histograms.snapshots()
+
+
+def test_a_plot_leaves_out_long_gaps():
+    histograms = observe.Histograms()
+    for value in (0, 3_000, 5_000, 5_500):
+        histograms.record(ids.CustomerId("h"), SERVICE, HIGH, value)
+    rows = observe.plot(histograms.snapshots()[0]).splitlines()
+    assert [row.split()[0] for row in rows[2:]] == [
+        "0us",
+        "...",
+        "2.05ms",
+        "4.1ms",
+    ]
+    assert [row.split()[-1] for row in rows[2:]] == ["1", "...", "1", "2"]
