--- a/foxtailworks/ctl/_host.py
+++ b/foxtailworks/ctl/_host.py
@@ -100,7 +100,7 @@
 
     \b
     Examples:
-      foxtailctl drain 127.2.0.5:9000/1
+      foxtailctl drain 127.2.6.1:9000#1796337228788038
     """
 
     async def command(session: _session.Session) -> _session.Done:
--- a/foxtailworks/observe/_plot.py
+++ b/foxtailworks/observe/_plot.py
@@ -1,11 +1,13 @@
 """Histograms as text for a terminal."""
 
 from collections import abc
+import itertools
 
 from foxtailworks.observe import _histograms
 
 BAR_CHARS = 40
 MAX_ROWS = 16
+MAX_GAP_ROWS = 2
 _PERCENTS = (50.0, 90.0, 99.0, 99.9, 100.0)
 _EIGHTHS = " ▏▎▍▌▋▊▉█"
 
@@ -34,10 +36,17 @@
         power = bucket.value_us.bit_length()
         counts[power] = counts.get(power, 0) + bucket.count
     most = max(counts.values())
-    for power in _span(counts):
-        count = counts.get(power, 0)
-        low = _show(1 << power >> 1)
-        yield f"  {low:>8} {_bar(count / most)} {count}"
+    for is_gap, powers in itertools.groupby(
+        _span(counts), lambda power: power not in counts
+    ):
+        rows = list(powers)
+        if is_gap and len(rows) > MAX_GAP_ROWS:
+            yield f"  {'...':>8}"
+            continue
+        for power in rows:
+            count = counts.get(power, 0)
+            low = _show(1 << power >> 1)
+            yield f"  {low:>8} {_bar(count / most)} {count}"
 
 
 def _span(counts: dict[int, int]) -> range:
