Deflate much news and let a new host fill its tables fast

Cause: with 3,900 upstreams announced at one instant to 30 hosts the tables still differed 60 s later, traffic stayed at 20.0 KB/s a host (mean) and 31.3 KB/s a relay, over the half of control's 30 KB/s, and a host that joined then needed 81 s and 646 KB. The news went out raw, nine times a record and host, from a queue sorted at each send, and left the byte rate no room for the comparison of tables.

Change: four or more records of news are deflated (108); a crowded queue sends what isn't urgent three times and leaves the rest to comparison; records lie in lanes by the sends that are left; a host younger than 30 s compares tables with other hosts five times a second.

Ruled out: faster probes of a young host. They ended before an answer was overdue, so that it found no crash in its first 30 s (test_crash_is_known_everywhere_in_seconds failed).

Run: pytest foxtailworks/membership foxtailworks/upstreams: 57 passed.

--- a/foxtailworks/membership/_claims.py
+++ b/foxtailworks/membership/_claims.py
@@ -12,6 +12,7 @@
 from foxtailworks.membership import _hosts
 from foxtailworks.membership import _replica
 from foxtailworks.membership import _seen
+from foxtailworks.membership import _sync
 from foxtailworks.membership import _view
 from foxtailworks.membership import _zones
 
@@ -77,6 +78,14 @@
         events = self._hosts.merge(claim, _Spread.EVERYWHERE, now)
         yield from self.tell(events, now)
 
+    def unpack(self, packed: bytes) -> list[bytes]:
+        """Return deflated records; drop and count malformed ones."""
+        try:
+            return _sync.unpack(packed)
+        except errors.FoxtailError:
+            self.malformed += 1
+            return []
+
     def take_news(
         self, items: abc.Iterable[bytes], sender: ids.HostId, now: float
     ) -> abc.Iterator[object]:
--- a/foxtailworks/membership/_core.py
+++ b/foxtailworks/membership/_core.py
@@ -160,6 +160,7 @@
         if now >= self._next_gossip:
             self._next_gossip = now + self._cfg.gossip_interval_s
             yield from self._news.gossip(now)
+            yield from self._catch_up(now)
 
     def _restart(self, now: float) -> None:
         """Draw no conclusion from silence while this host was stopped."""
@@ -198,6 +199,13 @@
         if picked is not None:
             yield self._news.ping(*picked, now)
 
+    def _catch_up(self, now: float) -> abc.Iterator[object]:
+        """While young, meet more hosts whose tables to compare with."""
+        others = [host for host in self.live() if host.id != self.me.id]
+        if others and self._claims.is_young(now):
+            host = self._rng.choice(others)
+            yield self._news.ping(host, self._detector.next_sequence(), now)
+
     def _probe_zones(self, now: float) -> abc.Iterator[object]:
         """As a relay, probe one host of each other zone; report."""
         if not self._claims.is_relay:
@@ -301,7 +309,9 @@
             reply = _messages.PingReply(self._claims.me.id, relayed.sequence)
             yield _events.Send(relayed.asker, reply)
         yield from self._claims.take_news(msg.items, msg.sender, now)
-        yield from self._news.bulk(src, self._sync.compare(msg.roots, now))
+        yield from self._news.bulk(
+            src, self._sync.compare(msg.roots, self._claims.is_young(now), now)
+        )
 
     @_receive.register
     def _on_ping_request(
@@ -349,6 +359,15 @@
         yield from self._claims.hear(now)
         yield from self._claims.take_news(msg.items, msg.sender, now)
 
+    @_receive.register
+    def _on_packed_gossip(
+        self, msg: _messages.PackedGossip, src: ids.Address, now: float
+    ) -> abc.Iterator[object]:
+        """Take much news in."""
+        yield from self._claims.hear(now)
+        items = self._claims.unpack(msg.packed)
+        yield from self._claims.take_news(items, msg.sender, now)
+
     @_receive.register
     def _on_buckets(
         self, msg: _messages.Buckets, src: ids.Address, now: float
@@ -368,11 +387,7 @@
     ) -> abc.Iterator[object]:
         """Take records of differing buckets in."""
         yield from self._claims.hear(now)
-        try:
-            items = _sync.unpack(msg.packed)
-        except errors.FoxtailError:
-            self._claims.malformed += 1
-            return
+        items = self._claims.unpack(msg.packed)
         yield from self._claims.take_records(items, msg.sender, now)
 
     def _hear(self, sender: ids.HostId, now: float) -> abc.Iterator[object]:
--- a/foxtailworks/membership/_messages.py
+++ b/foxtailworks/membership/_messages.py
@@ -120,6 +120,16 @@
     """Deflated CBOR array of encoded records."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PackedGossip:
+    """Much news."""
+
+    sender: ids.HostId
+    """Who sends."""
+    packed: bytes
+    """Deflated CBOR array of encoded records."""
+
+
 MESSAGES: typing.Final[dict[int, type]] = {
     100: Ping,
     101: Ack,
@@ -129,6 +139,7 @@
     105: Gossip,
     106: Buckets,
     107: Records,
+    108: PackedGossip,
 }
 
 ITEMS: typing.Final[dict[int, type]] = {
--- a/foxtailworks/membership/_news.py
+++ b/foxtailworks/membership/_news.py
@@ -18,6 +18,7 @@
 UDP_OVERHEAD_BYTES = 28
 MIN_NEWS_BYTES = 200
 LEAVE_SENDS = 32
+PACK_ITEMS = 4
 
 
 class News:
@@ -87,8 +88,8 @@
             rumours = self._replicas[(self._cursor + step) % count].rumours
             if not len(rumours):
                 continue
-            take = rumours.take_outer if outer else rumours.take_inner
-            taken = take(budget)
+            lane = rumours.outer if outer else rumours.inner
+            taken = lane.take(budget)
             items += taken
             budget -= sum(map(len, taken)) + 3 * len(taken)
         return tuple(items)
@@ -117,7 +118,7 @@
             size = self._size(1, now)
             items = self._take(size, outer=False) if size else ()
             if items:
-                yield self._send(host, items)
+                yield from self._send(host, items)
 
     def _gossip_outer(self, now: float) -> abc.Iterator[_events.Send]:
         """Send news to one relay of each other zone."""
@@ -131,24 +132,37 @@
         items = self._take(size, outer=True) if size else ()
         if items:
             for host in targets:
-                yield self._send(host, items)
+                yield from self._send(host, items)
 
     def _size(self, receivers: int, now: float) -> int:
-        """Return the bytes of records that each receiver may get now."""
-        share = int(self._budget.left(now) / receivers)
-        most = self._cfg.datagram_bytes
-        size = min(share, most) - MESSAGE_OVERHEAD_BYTES
+        """Return the bytes of records that each receiver may get now.
+
+        Much news is deflated to less than half.
+        """
+        share = int(2 * self._budget.left(now) / receivers)
+        size = min(share, _sync.RAW_CHUNK_BYTES) - MESSAGE_OVERHEAD_BYTES
         return size if size >= MIN_NEWS_BYTES else 0
 
     def _send(
         self, host: _host.Host, items: tuple[bytes, ...]
-    ) -> _events.Send:
-        """Return a datagram of news and count its bytes."""
-        size = sum(map(len, items)) + MESSAGE_OVERHEAD_BYTES
-        self._budget.spend(size + UDP_OVERHEAD_BYTES)
-        return _events.Send(
-            host.address, _messages.Gossip(self._claims.me.id, items)
-        )
+    ) -> abc.Iterator[_events.Send]:
+        """Send news, deflated where it is much, and count its bytes."""
+        me = self._claims.me.id
+        size = sum(map(len, items))
+        if len(items) < PACK_ITEMS:
+            self._spend(size)
+            yield _events.Send(host.address, _messages.Gossip(me, items))
+            return
+        limit = self._cfg.datagram_bytes - MESSAGE_OVERHEAD_BYTES
+        for packed in _sync.pack(items, limit):
+            self._spend(len(packed))
+            msg = _messages.PackedGossip(me, packed)
+            yield _events.Send(host.address, msg)
+
+    def _spend(self, size: int) -> None:
+        """Count the bytes of one datagram."""
+        overhead = MESSAGE_OVERHEAD_BYTES + UDP_OVERHEAD_BYTES
+        self._budget.spend(size + overhead)
 
     def bulk(
         self,
@@ -162,8 +176,7 @@
                 if isinstance(msg, _messages.Records)
                 else msg.hashes
             )
-            size = len(body) + MESSAGE_OVERHEAD_BYTES
-            self._budget.spend(size + UDP_OVERHEAD_BYTES)
+            self._spend(len(body))
             yield _events.Send(to, msg)
 
     def _others(self, hosts: list[_host.Host]) -> list[_host.Host]:
@@ -180,4 +193,4 @@
                 targets += self._zones.relays(other)
         items = (self._hosts.item_of(self._claims.me.id),)
         for host in targets:
-            yield self._send(host, items)
+            yield from self._send(host, items)
--- a/foxtailworks/membership/_replica.py
+++ b/foxtailworks/membership/_replica.py
@@ -12,6 +12,8 @@
 
 BUCKETS = 256
 OUTER_ROUNDS = 2
+CROWDED = 64
+CROWDED_SENDS = 3
 HASH_BYTES = 4
 
 
@@ -90,7 +92,10 @@
             return
         is_far = spread is Spread.EVERYWHERE
         outer = self._outer_rounds if is_far else 0
-        self.rumours.put(key, item, self._sends, outer, urgent)
+        is_crowded = len(self.rumours.inner) > CROWDED and not urgent
+        # Comparing tables is cheaper for what many records miss.
+        inner = min(self._sends, CROWDED_SENDS) if is_crowded else self._sends
+        self.rumours.put(key, item, inner, outer, urgent)
 
 
 def tag_of(item: bytes) -> int:
--- a/foxtailworks/membership/_rumours.py
+++ b/foxtailworks/membership/_rumours.py
@@ -1,88 +1,91 @@
 """News that is still to be passed on."""
 
-import dataclasses
 import typing
 
-MAX_RUMOURS = 1_024
+MAX_RUMOURS = 4_096
 ITEM_OVERHEAD_BYTES = 3
+URGENT_LEVEL = 100
 
 
-@dataclasses.dataclass(slots=True)
-class _Rumour:
-    """One encoded record and how often it is still sent."""
+class Lane:
+    """Encoded records by key, sorted by how often they're still sent.
 
-    item: bytes
-    inner: int
-    outer: int
-    urgent: bool
+    A newer record replaces the older one of its key. When the lane is full
+    the most-sent record goes: comparing tables repairs it.
+    """
+
+    def __init__(self) -> None:
+        self._level_of: dict[str, int] = {}
+        self._levels: dict[int, dict[str, bytes]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of records still to be sent."""
+        return len(self._level_of)
+
+    def put(self, key: str, item: bytes, sends: int, urgent: bool) -> None:
+        """Send ``item`` so often; ``urgent`` ones go first."""
+        self.drop(key)
+        if sends <= 0:
+            return
+        if len(self._level_of) >= MAX_RUMOURS:
+            self.drop(next(iter(self._levels[min(self._levels)])))
+        self._insert(key, item, sends + URGENT_LEVEL * urgent)
+
+    def drop(self, key: str) -> None:
+        """Send the record of ``key`` no more."""
+        level = self._level_of.pop(key, None)
+        if level is not None:
+            del self._levels[level][key]
+            if not self._levels[level]:
+                del self._levels[level]
+
+    def _insert(self, key: str, item: bytes, level: int) -> None:
+        """Put a record on a level; the lowest ones are done with."""
+        if level % URGENT_LEVEL:
+            self._level_of[key] = level
+            self._levels.setdefault(level, {})[key] = item
+
+    def take(self, budget: int) -> tuple[bytes, ...]:
+        """Return records that fit into ``budget`` and count them as sent."""
+        taken = list(self._choose(budget)) if self._level_of else []
+        for key, item, level in taken:
+            self.drop(key)
+            self._insert(key, item, level - 1)
+        return tuple(item for _, item, _ in taken)
+
+    def _choose(self, budget: int) -> typing.Iterator[tuple[str, bytes, int]]:
+        """Yield the records to send next, urgent and least-sent first."""
+        for level in sorted(self._levels, reverse=True):
+            for key, item in self._levels[level].items():
+                budget -= len(item) + ITEM_OVERHEAD_BYTES
+                if budget < 0:
+                    return
+                yield key, item, level
 
 
 class Rumours:
-    """Encoded records by key, each sent a bounded number of times.
+    """What one table still passes on.
 
-    ``inner`` counts sends within the availability zone, ``outer`` rounds to
-    the other ones. A newer record replaces the older one of its key. When
-    the table is full the most-sent record goes: comparing tables repairs it.
+    ``inner`` goes to hosts of the availability zone, ``outer`` in rounds to
+    the other zones.
     """
 
     def __init__(self) -> None:
-        self._rumours: dict[str, _Rumour] = {}
+        self.inner = Lane()
+        self.outer = Lane()
 
     def __len__(self) -> int:
         """Return the number of records still to be sent."""
-        return len(self._rumours)
+        return len(self.inner) + len(self.outer)
 
     def put(
-        self,
-        key: str,
-        item: bytes,
-        inner: int,
-        outer: int,
-        urgent: bool = False,
+        self, key: str, item: bytes, inner: int, outer: int, urgent: bool
     ) -> None:
-        """Spread ``item``; ``urgent`` ones go first."""
-        if len(self._rumours) >= MAX_RUMOURS and key not in self._rumours:
-            self._drop_one()
-        self._rumours[key] = _Rumour(item, inner, outer, urgent)
+        """Spread ``item``."""
+        self.inner.put(key, item, inner, urgent)
+        self.outer.put(key, item, outer, urgent)
 
     def drop(self, key: str) -> None:
         """Pass the record of ``key`` on no more: it is out of date."""
-        self._rumours.pop(key, None)
-
-    def _drop_one(self) -> None:
-        """Make room for a newer record."""
-        key = min(self._rumours, key=lambda key: self._rumours[key].inner)
-        del self._rumours[key]
-
-    def _ordered(self) -> list[tuple[str, _Rumour]]:
-        """Return the records, urgent and least-sent first."""
-        return sorted(
-            self._rumours.items(),
-            key=lambda pair: (pair[1].urgent, pair[1].inner, pair[1].outer),
-            reverse=True,
-        )
-
-    def take_inner(self, budget: int) -> tuple[bytes, ...]:
-        """Return records for one host of the own availability zone."""
-        return self._take(budget, "inner")
-
-    def take_outer(self, budget: int) -> tuple[bytes, ...]:
-        """Return records for one round to other availability zones."""
-        return self._take(budget, "outer")
-
-    def _take(
-        self, budget: int, side: typing.Literal["inner", "outer"]
-    ) -> tuple[bytes, ...]:
-        """Return records that fit into ``budget`` and count them as sent."""
-        taken = []
-        for key, rumour in self._ordered() if self._rumours else ():
-            left = getattr(rumour, side)
-            size = len(rumour.item) + ITEM_OVERHEAD_BYTES
-            if left <= 0 or size > budget:
-                continue
-            budget -= size
-            taken.append(rumour.item)
-            setattr(rumour, side, left - 1)
-            if rumour.inner <= 0 and rumour.outer <= 0:
-                del self._rumours[key]
-        return tuple(taken)
+        self.inner.drop(key)
+        self.outer.drop(key)
--- a/foxtailworks/membership/_sync.py
+++ b/foxtailworks/membership/_sync.py
@@ -15,6 +15,7 @@
 RAW_CHUNK_BYTES = 3_000
 MAX_RAW_BYTES = 16_384
 HEADROOM_BYTES = 100
+YOUNG_INTERVAL_S = 0.2
 
 
 class Budget:
@@ -111,17 +112,21 @@
         return tuple(replica.hashes.root for replica in self._replicas)
 
     def compare(
-        self, roots: tuple[int, ...], now: float
+        self, roots: tuple[int, ...], is_young: bool, now: float
     ) -> abc.Iterator[_messages.Buckets]:
-        """Yield the hashes of tables that differ from ``roots``."""
+        """Yield the hashes of tables that differ from ``roots``.
+
+        A young host compares at once and often, to fill its tables.
+        """
         mine = self.roots()
         if roots == mine or len(roots) != len(mine) or now < self._next_at:
             return
         for index, replica in enumerate(self._replicas):
             quiet = now - replica.changed_at >= self._cfg.sync_quiet_s
-            if roots[index] == mine[index] or not quiet:
+            if roots[index] == mine[index] or not (quiet or is_young):
                 continue
-            self._next_at = now + self._cfg.sync_interval_s
+            wait = YOUNG_INTERVAL_S if is_young else self._cfg.sync_interval_s
+            self._next_at = now + wait
             yield self._buckets(index, False)
 
     def _buckets(self, index: int, is_reply: bool) -> _messages.Buckets:
