--- a/foxtailworks/contracts/tests/test_catalogue.py
+++ b/foxtailworks/contracts/tests/test_catalogue.py
@@ -130,6 +130,13 @@
         later.apply(catalogue.view.since(ids.ZERO_VERSION))
         views.append(later)
     for view in views:
+        pieces = contracts.View()
+        pieces.apply(view.since(ids.ZERO_VERSION))
+        for part in catalogue.view.parts(view.version, 1):
+            assert pieces.apply(part) and len(part.contracts) <= 1
+        assert pieces.contracts == catalogue.view.contracts
+        assert pieces.roster == catalogue.view.roster
+        assert pieces.version == catalogue.view.version
         old = view.version
         took = view.apply(catalogue.view.since(old))
         assert took == (old < catalogue.view.version)
@@ -146,3 +153,12 @@
         apply(catalogue, edit(f"e{number}", "other", 99, 7002))
     assert catalogue.outcome(ids.EditId("first")) is None
     assert apply(catalogue, first).code == errors.Code.VERSION_CONFLICT
+
+
+def test_a_delta_over_a_gap_is_refused():
+    catalogue = contracts.Catalogue()
+    apply(catalogue, edit("a", "balans", 0, 7001))
+    apply(catalogue, edit("b", "paseos", 0, 7002))
+    lagging = contracts.View()
+    assert not lagging.apply(catalogue.view.since(ids.Version(1)))
+    assert lagging.version == ids.ZERO_VERSION
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -88,6 +88,16 @@
         if self._ring.set_hosts((*self._hosts, own), now):
             self._exchange.hosts_changed()
 
+    def set_homes(self, hosts: tuple[_types.HostView, ...]) -> None:
+        """Take in the hosts that all agree on, live or not.
+
+        They say by which availability zone the table places a flow, so that
+        hosts whose views of the live ones differ compute the same table.
+        Without them each host goes by those it holds settled.
+        """
+        if self._ring.set_homes(hosts):
+            self._exchange.tables_changed()
+
     def set_upstreams(
         self, views: tuple[_types.UpstreamView, ...], now: float
     ) -> None:
@@ -158,6 +168,9 @@
         if to is not None and hops < MAX_HOPS:
             self.counts.relayed += 1
             return _types.RelayTo(to, hops + 1)
+        if known is None and to is not None and self._exchange.starting:
+            # Lost, as on the wire: placed now it might be moved.
+            return _types.Refuse(errors.Code.OWNER_STARTING)
         if known is None:
             return self._place(service, key, route, now)
         told = self._told(service, key)
@@ -178,14 +191,17 @@
         owner = route.owner
         if owner == self._me:
             ask = self._exchange.whom_to_ask(route, now)
-            return ask if ask != relayed_from else None
+            if ask != relayed_from:
+                return ask
+            # A host that starts asks also the one that relayed to it.
+            return ask if self._exchange.starting else None
         if known is not None or owner is None:
             return None
         if owner != relayed_from:
             return owner
         # The owner asks what is known here of the flow.
         is_told = self._exchange.lookup(key) is not None
-        if is_told or self._exchange.is_starting(owner, now):
+        if is_told or self._exchange.is_new(owner, now):
             return None
         return owner
 
