--- a/foxtailworks/bench/_membership_figures.py
+++ b/foxtailworks/bench/_membership_figures.py
@@ -1,7 +1,6 @@
 """Single measurements of membership and the directory."""
 
 from collections import abc
-import dataclasses
 import random
 import statistics
 import tracemalloc
