Keep one second's bulk under the limit; assert the record's order

A burst of 24 KB on top of 12 KB/s let single hosts send 30.4 KB in one second when 14 of 300 hosts died, over the limit of 30 KB/s. The burst is 8 KB now. The table asserts that no record falls back in its whole order, and candidates assert that they take work.

--- a/foxtailworks/membership/_config.py
+++ b/foxtailworks/membership/_config.py
@@ -47,7 +47,7 @@
     """Most bytes of news on a probe or its answer."""
     bulk_bytes_per_s: float = 12_000.0
     """Sustained rate of gossip and table comparison."""
-    bulk_burst_bytes: float = 24_000.0
+    bulk_burst_bytes: float = 8_000.0
     """Burst of gossip and table comparison."""
     tombstone_s: float = 7_200.0
     """How long a host that is dead or has left is remembered."""
--- a/foxtailworks/upstreams/_candidates.py
+++ b/foxtailworks/upstreams/_candidates.py
@@ -132,6 +132,7 @@
         now: float,
     ) -> Candidate:
         """Return one candidate with its effective weight."""
+        assert upstream.takes_work, upstream
         nominal = upstream.slots * upstream.weight
         doubts = self._doubts.count(upstream.id, health.answered_at)
         return Candidate(
--- a/foxtailworks/upstreams/_table.py
+++ b/foxtailworks/upstreams/_table.py
@@ -89,13 +89,7 @@
         self, old: _record.Upstream | None, new: _record.Upstream
     ) -> None:
         """Assert that no record falls back."""
-        if old is not None and (
-            new.incarnation < old.incarnation
-            or (
-                new.incarnation == old.incarnation
-                and new.state.value < old.state.value
-            )
-        ):
+        if old is not None and new.order() <= old.order():
             raise errors.FoxtailError(
                 errors.Code.INTERNAL, "upstream came back", id=new.id
             )
