--- a/foxtailworks/keeper/tests/cluster.py
+++ b/foxtailworks/keeper/tests/cluster.py
@@ -15,6 +15,8 @@
 CODEC = wire.Codec(agreement.MESSAGES)
 TICK_S = 0.05
 LEADER = agreement.Role.LEADER
+HOSTS = [ids.HostId(f"h{n}") for n in range(3)]
+ZONE = ids.ZoneId("z")
 
 
 def address(place):
@@ -38,9 +40,14 @@
         self.files, self.nodes, self.frozen = {}, {}, set()
         self.names, self.born = {}, 0
         self.cuts, self.queue = set(), collections.deque()
+        self.texts = {}
         # What must never change, as seen from outside.
         self.committed, self.leaders, self.answers = {}, {}, {}
         self.asked, self.reads, self.edits, self.read_floor = {}, {}, {}, {}
+        self.lost = None
+        self.hosts, self.in_force = {}, {}
+        for host in HOSTS:
+            self.start_host(host)
         for place in range(size + spare):
             self.new_disk(place)
             self.start(place)
@@ -90,6 +97,8 @@
         for place in sorted(self.nodes):
             if place not in self.frozen:
                 self.step(place, lambda n: n.on_tick(self.now))
+        for host, core in self.hosts.items():
+            self.spread(host, core.on_tick(self.now))
 
     def step(self, place, action):
         """Run one call of a node and what follows from it."""
@@ -177,6 +186,93 @@
         if both:
             self.cuts.add((self.names[b], self.names[a]))
 
+    # Repair
+
+    def lose_disk(self, place):
+        """Start a place with an empty disk; one at a time."""
+        if self.lost is not None:
+            return
+        self.lost = (place, self.names[place])
+        self.kill(place)
+        self.new_disk(place)
+        self.start(place)
+
+    def repair(self):
+        """Let the new disk's keeper learn, then vote; remove the old."""
+        if self.lost is None or self.lost[0] not in self.nodes:
+            return
+        place, old = self.lost
+        name = self.names[place]
+        member = [
+            agreement.Member(name, f"k{place}", address(place), voter)
+            for voter in (False, True)
+        ]
+        for change in (
+            lambda m: m if m.find(name) else m.put(member[0]),
+            lambda m: m.put(member[1]),
+            lambda m: m.without(old),
+        ):
+            if not self.change_members(change):
+                return
+        self.lost = None
+
+    def change_members(self, change):
+        """Commit a change through the leader; tell whether it was."""
+        lead = self.leader()
+        if lead is None:
+            return False
+        before = self.nodes[lead].replica.membership
+        wanted = change(before)
+        if wanted == before:
+            return True
+        try:
+            index = self.step(
+                lead, lambda n: n.propose_membership(wanted, self.now)
+            )
+        except errors.FoxtailError as exc:
+            assert exc.code != errors.Code.INTERNAL, exc
+            return False
+        self.calm(1.0)
+        node = self.nodes.get(lead)
+        return (
+            node is not None
+            and node.replica.commit_index >= index
+            and set(node.replica.membership.members) == set(wanted.members)
+        )
+
+    # Entry hosts
+
+    def start_host(self, host):
+        self.in_force.pop(host, None)
+        self.hosts[host] = contracts.Distribution(
+            host, ZONE, contracts.View(), self.rng, self.now
+        )
+        self.hosts[host].set_peers({h: ZONE for h in HOSTS})
+
+    def feed_host(self, host, place):
+        """A keeper, leader or not, gives a host what it lacks."""
+        if place in self.nodes and place not in self.frozen:
+            core = self.hosts[host]
+            update = self.nodes[place].catalogue.view.since(core.version)
+            self.spread(host, core.on_update(update, self.now))
+
+    def spread(self, host, actions):
+        """Deliver between hosts at once, losing some messages."""
+        for action in actions:
+            if isinstance(action, contracts.PutInForce):
+                version = self.hosts[host].version
+                assert version > self.in_force.get(host, 0), "went back"
+                self.in_force[host] = version
+                for item in action.update.contracts:
+                    mark = (item.customer, item.version)
+                    text = self.texts.setdefault(mark, item.document)
+                    assert text == item.document, "two texts in force"
+            elif self.rng.random() < 0.8:
+                core = self.hosts[action.to]
+                self.spread(
+                    action.to, core.on_message(host, action.msg, self.now)
+                )
+
     # Operators
 
     def put(self, place, edit):
@@ -255,6 +351,8 @@
                 files.crash(self.rng)
                 self.start(place)
         self.calm(6.0)
+        self.repair()
+        assert self.lost is None, "no repair after all is healed"
         lead = self.leader()
         assert lead is not None, "no leader after all is healed"
         edit = contracts.Edit(
@@ -269,5 +367,9 @@
         whole = [n for p, n in self.nodes.items() if self.names[p] in members]
         states = {n.catalogue.snapshot() for n in whole}
         assert len(states) == 1, "catalogues differ"
+        self.feed_host(HOSTS[0], lead)
+        self.calm(3.0)
+        view = self.nodes[lead].catalogue.view
+        assert {h.version for h in self.hosts.values()} == {view.version}
         for edit_id, outcome in self.answers.items():
             assert whole[0].catalogue.outcome(edit_id) == outcome
