Notice a broken link between keepers while there is nothing to send

Logs of roles showed pre-votes without an answer after one of the two others had restarted: a follower sends nothing to its peer, so it noticed the broken link only by the lost vote request.

Change: the dialling side reads its link, which ends with the link.

--- a/foxtailworks/keeper/_peers.py
+++ b/foxtailworks/keeper/_peers.py
@@ -100,11 +100,24 @@
             while not queue.empty():
                 queue.get_nowait()
             self._linked.add(address)
-            while True:
-                await link.send(await queue.get())
+            sender = asyncio.ensure_future(_send_all(link, queue))
+            try:
+                # Nothing comes back; reading notices the end at once, also
+                # while there is nothing to send.
+                async for _ in link:
+                    pass
+            finally:
+                sender.cancel()
 
     async def close(self) -> None:
         """End all links."""
         for task in self._tasks.values():
             task.cancel()
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+
+async def _send_all(link: links.Link, queue: asyncio.Queue[object]) -> None:
+    """Send what is queued until the link ends."""
+    with contextlib.suppress(errors.FoxtailError):
+        while True:
+            await link.send(await queue.get())
