Hold back a state that comes in parts until a started host has counted

Cause: keepers send a state over 512 KiB in several updates; while a host counted its neighbours' versions it kept only the last of them, which leaves a gap.

--- a/foxtailworks/contracts/_distribution.py
+++ b/foxtailworks/contracts/_distribution.py
@@ -103,7 +103,7 @@
         self._counting = view.version == ids.ZERO_VERSION
         self._start_until = now + self._pace.start_s
         self._counts: dict[ids.HostId, ids.Version] = {}
-        self._held_back: _view.Update | None = None
+        self._held_back: list[_view.Update] = []
         self._served_at = now
         self._budget = float(self._pace.serve_burst_bytes)
         self._packed: dict[ids.Version, tuple[_spread.Piece, ...]] = {}
@@ -166,9 +166,10 @@
             return
         self._counting = False
         best = max(self._counts.values(), default=ids.ZERO_VERSION)
-        held, self._held_back = self._held_back, None
-        if held is not None and held.version >= best:
-            yield from self._take(held)
+        held, self._held_back = self._held_back, []
+        if held and held[-1].version >= best:
+            for update in held:
+                yield from self._take(update)
         elif best > self.version:
             yield from self._ask_best(best)
 
@@ -178,10 +179,15 @@
         yield SendToHost(self._rng.choice(hosts), _spread.Have(self.version))
 
     def _hold_back(self, update: _view.Update) -> None:
-        """Keep the newest update until the count is over."""
+        """Keep the newest state, which may come in parts, until then."""
         held = self._held_back
-        if held is None or held.version < update.version:
-            self._held_back = update
+        if held and update.version <= held[-1].version:
+            return
+        if update.since <= self.version:
+            self._held_back = [update]
+        elif held and update.since <= held[-1].version:
+            if len(held) < MAX_HELD_BACK:
+                held.append(update)
 
     # Versions in force.
 
@@ -296,6 +302,8 @@
 
 MAX_PACKED = 8
 """Packed differences that are kept until the next version."""
+MAX_HELD_BACK = 64
+"""Parts of a state that are kept while a started host counts."""
 MAX_CURSORS = 1024
 """Hosts whose place in a packed difference is remembered."""
 
--- a/foxtailworks/contracts/tests/test_distribution.py
+++ b/foxtailworks/contracts/tests/test_distribution.py
@@ -162,6 +162,17 @@
     assert hosts.views[HOSTS[5]].version == hosts.source.version
 
 
+def test_a_state_in_parts_is_held_back_whole():
+    hosts = Hosts()
+    for _ in range(5):
+        hosts.edit(100)
+    for part in hosts.source.parts(ids.ZERO_VERSION, 150):
+        hosts.cores[HOSTS[0]].on_update(part, hosts.now)
+    assert hosts.views[HOSTS[0]].version == ids.ZERO_VERSION
+    hosts.cores[HOSTS[0]].on_tick(hosts.now + 2.0)
+    assert hosts.views[HOSTS[0]].contracts == hosts.source.contracts
+
+
 def test_a_long_absence_ends_with_one_snapshot():
     hosts = Hosts()
     for _ in range(300):
