Prove at most one run under single and mixed failures

Change: the walk races hosts for one key without routing, breaks single links, and strikes a host at its send (frozen after its last check, dead before, dead after, send lost). Focused tests for each failure.

Found: a host that started while a roster was being replaced knew only the newest roster and took part without the joint majorities. KeyGroups now takes the older rosters that still count, which a starting host gets from another's `rosters`. `divisor` gives by how many a limit may be divided meanwhile.

--- a/foxtailworks/bench/_request_walk.py
+++ b/foxtailworks/bench/_request_walk.py
@@ -37,6 +37,21 @@
     world.ask(_key(rng), _host(world, rng), deadline_s)
 
 
+def _race(world: World, rng: random.Random) -> None:
+    """Let several hosts coordinate one key, as when their views differ."""
+    key = _key(rng)
+    for host in rng.sample(list(world.hosts), rng.choice([2, 2, 3])):
+        world.ask(key, host, 2.0, is_routed=False)
+        world.run(rng.choice([0.0, 0.0, 0.0005, 0.001, 0.3]))
+
+
+def _lose_some(world: World, rng: random.Random) -> None:
+    """Cut single links between hosts, or mend them all."""
+    names = sorted(world.hosts)
+    pairs = [(a, b) for a in names for b in names if a < b]
+    world.broken = set(rng.sample(pairs, rng.choice([0, 3, 6])))
+
+
 def _overload(world: World, rng: random.Random) -> None:
     """Ask where admission refuses."""
     world.ask(_key(rng), _host(world, rng), is_admitted=False)
@@ -55,6 +70,11 @@
     world.freeze(_host(world, rng), rng.choice([0.3, 2.0, 30.0]))
 
 
+def _strike(world: World, rng: random.Random) -> None:
+    """Let the next host that places stop or die around its send."""
+    world.strike = rng.choice(list(_request_world.Strike))
+
+
 def _kill(world: World, rng: random.Random) -> None:
     """End a host."""
     world.kill(_host(world, rng))
@@ -108,9 +128,12 @@
 
 STEPS: tuple[tuple[float, str, Step], ...] = (
     (40, "ask", _ask),
+    (14, "race", _race),
+    (4, "lose_some", _lose_some),
     (6, "overload", _overload),
     (12, "retransmit", _retransmit),
     (7, "freeze", _freeze),
+    (8, "strike", _strike),
     (4, "kill", _kill),
     (6, "restart", _restart),
     (4, "cut", _cut),
@@ -118,7 +141,7 @@
     (6, "shed", _shed),
     (2, "crash_upstream", _crash_upstream),
     (5, "change_view", _change_view),
-    (2, "change_roster", _change_roster),
+    (4, "change_roster", _change_roster),
 )
 _WEIGHTS = [weight for weight, _, _ in STEPS]
 PAUSES_S = (0.0, 0.0005, 0.002, 0.01, 0.05, 0.3, 1.0, 2.6)
--- a/foxtailworks/bench/_request_world.py
+++ b/foxtailworks/bench/_request_world.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import enum
 import functools
 import heapq
 import itertools
@@ -19,10 +20,20 @@
 RUN_S = 0.02
 RETENTION_S = 60.0
 FABRIC_DELAY_S = 1.0
+FREEZE_S = 30.0
 SERVICE = ids.ServiceId("check-ins")
 Event = typing.Callable[[], None]
 
 
+class Strike(enum.Enum):
+    """What befalls the next host that is about to place a request."""
+
+    FREEZE_BEFORE = "frozen after its last check, sends when it goes on"
+    KILL_BEFORE = "dies before the send"
+    KILL_AFTER = "dies after the send"
+    LOSE = "its send is lost"
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """One datagram of a caller and what the caller was told."""
@@ -89,6 +100,8 @@
         self.loss = 0.0
         self.doubling = 0.0
         self.delay_s = 0.001
+        self.strike: Strike | None = None
+        self.broken: set[tuple[ids.HostId, ids.HostId]] = set()
         self.cut: frozenset[ids.ZoneId] = frozenset()
         self.counts: collections.Counter[str] = collections.Counter()
         self.runs: dict[ids.RequestKey, list[float]] = {}
@@ -115,7 +128,9 @@
         self, name: ids.HostId, zone: ids.ZoneId, fresh: bool
     ) -> None:
         """Start a process with no memory."""
-        groups = requests.KeyGroups(self.roster, RETENTION_S)
+        groups = requests.KeyGroups(
+            self.roster, RETENTION_S, self._older_rosters()
+        )
         recovery = requests.Recovery(self.now, RETENTION_S, fresh)
         store = requests.ClaimStore(name, groups, recovery)
         incarnation = ids.Incarnation(next(self._serial))
@@ -139,6 +154,13 @@
         self.hosts[name] = host
         self._tick(host)
 
+    def _older_rosters(self) -> tuple[requests.Roster, ...]:
+        """Return what a starting host learns from the others."""
+        lists = [item.groups.rosters for item in self.hosts.values()]
+        longest = max(lists, key=len, default=())
+        newest = self.roster.epoch
+        return tuple(item for item in longest if item.epoch < newest)
+
     def ask(
         self,
         key: ids.RequestKey,
@@ -146,6 +168,7 @@
         deadline_s: float = 2.0,
         again: Attempt | None = None,
         is_admitted: bool = True,
+        is_routed: bool = True,
     ) -> Attempt:
         """Send a caller's datagram, a new attempt or a retransmission."""
         attempt = again
@@ -166,7 +189,7 @@
             attempt.sent_at = self.now
         host = self.hosts[name]
         if is_admitted:
-            self._arrive(host, arrival, False)
+            self._arrive(host, arrival, not is_routed)
             self._double(arrival)
         else:
             refuse = host.coordinator.refuse
@@ -246,6 +269,8 @@
         match action:
             case requests.Send():
                 self._send(host, action)
+            case requests.Place() if self.strike is not None:
+                self._struck(host, action)
             case requests.Place() | requests.Cancel():
                 self._to_upstream(host, action)
             case requests.PassTo():
@@ -253,6 +278,17 @@
             case _:
                 self._told(action)
 
+    def _struck(self, host: Host, action: requests.Place) -> None:
+        """Let a fault befall a host around its send."""
+        strike, self.strike = self.strike, None
+        if strike is Strike.FREEZE_BEFORE:
+            self.freeze(host.name, FREEZE_S)
+            self._do(host, functools.partial(self._act, host, action))
+        elif strike is Strike.KILL_AFTER:
+            self._act(host, action)
+        if strike in (Strike.KILL_BEFORE, Strike.KILL_AFTER):
+            self.kill(host.name)
+
     def _send(self, host: Host, action: requests.Send) -> None:
         """Send a message between hosts through the codec."""
         data = self._codec.encode(action.message)
@@ -269,7 +305,9 @@
                 lambda: to.coordinator.receive(self.now, host.name, message),
             )
 
-        self._carry(host.zone, target.zone, deliver)
+        link = (min(host.name, target.name), max(host.name, target.name))
+        if link not in self.broken:
+            self._carry(host.zone, target.zone, deliver)
 
     def _carry(
         self, source: ids.ZoneId, target: ids.ZoneId, deliver: Event
--- a/foxtailworks/requests/__init__.py
+++ b/foxtailworks/requests/__init__.py
@@ -43,10 +43,14 @@
 from foxtailworks.requests._messages import AttemptId
 from foxtailworks.requests._messages import BodyBind
 from foxtailworks.requests._messages import BodyBound
+from foxtailworks.requests._messages import Claim
 from foxtailworks.requests._messages import ClaimId
 from foxtailworks.requests._messages import make_codec
 from foxtailworks.requests._messages import Message
 from foxtailworks.requests._messages import MESSAGES
+from foxtailworks.requests._messages import Outcome
+from foxtailworks.requests._messages import Placement
+from foxtailworks.requests._messages import RecordOutcome
 from foxtailworks.requests._recovery import Recovery
 from foxtailworks.requests._store import ClaimStore
 
@@ -63,6 +67,7 @@
     "Cancel",
     "CancelResult",
     "CancelTry",
+    "Claim",
     "ClaimId",
     "ClaimStore",
     "Coordinator",
@@ -70,9 +75,12 @@
     "IdempotentRequests",
     "KeyGroups",
     "Message",
+    "Outcome",
     "PassTo",
     "Place",
     "PlaceTry",
+    "Placement",
+    "RecordOutcome",
     "Recovery",
     "Refuse",
     "Repeatable",
--- a/foxtailworks/requests/_groups.py
+++ b/foxtailworks/requests/_groups.py
@@ -80,11 +80,18 @@
 
     :param roster: the roster in force at the start
     :param retention_s: the longest retention of any contract
+    :param older: rosters that still count elsewhere, oldest first; a host
+        that starts takes them from another host's :attr:`rosters`
     """
 
-    def __init__(self, roster: Roster, retention_s: float) -> None:
+    def __init__(
+        self,
+        roster: Roster,
+        retention_s: float,
+        older: tuple[Roster, ...] = (),
+    ) -> None:
         self._retention_s = retention_s
-        self._active = [_Active(roster)]
+        self._active = [_Active(item) for item in (*older, roster)]
         self._adopted: dict[ids.HostId, int] = {}
         self._cache: collections.OrderedDict[
             ids.RequestKey, tuple[Group, ...]
@@ -100,6 +107,22 @@
         """Return the newest roster."""
         return self._active[-1].roster
 
+    @property
+    def rosters(self) -> tuple[Roster, ...]:
+        """Return every roster that counts, oldest first."""
+        return tuple(item.roster for item in self._active)
+
+    def divisor(self, host: ids.HostId) -> int:
+        """Return by how many a limit is divided for ``host``'s share.
+
+        It is 0 for a host that isn't in every roster that counts: the
+        others may still divide the limit among themselves alone.
+        """
+        pools = [{h for h, _ in r.hosts} for r in self.rosters]
+        if not all(host in pool for pool in pools):
+            return 0
+        return len(set[ids.HostId]().union(*pools))
+
     @property
     def is_joint(self) -> bool:
         """Return whether an older roster still counts."""
--- /dev/null
+++ b/foxtailworks/requests/tests/test_failures.py
@@ -0,0 +1,169 @@
+"""Single failures around one keyed request, each at its worst moment."""
+
+import pytest
+
+from foxtailworks.bench import _request_walk
+from foxtailworks.bench import _request_world
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import requests
+
+KEY = ids.RequestKey(b"k" * 16)
+Strike = _request_world.Strike
+
+
+def make(zones=_request_walk.ZONES):
+    roster = _request_world.make_roster(1, list(zones))
+    world = _request_world.World(1, roster, upstreams=1)
+    group = requests.choose_group(roster, KEY)
+    return world, group.members
+
+
+def hold_dead(world, dead):
+    for host in world.hosts.values():
+        alive = [name for name in world.hosts if name != dead]
+        host.coordinator.set_alive(alive)
+
+
+def check(world, runs):
+    assert len(world.runs.get(KEY, [])) == runs
+    assert not any(world.counts_of_violations().values())
+
+
+@pytest.mark.parametrize("strike", Strike)
+def test_retry_after_the_coordinator_fails_around_its_send(strike):
+    world, (first, second, _) = make()
+    world.strike = strike
+    world.ask(KEY, first, 30.0)
+    world.run(0.2)
+    hold_dead(world, first)
+    retry = world.ask(KEY, second)
+    world.run(1.0)
+    assert retry.told == "Answer"
+    world.run(40.0)
+    check(world, 1)
+
+
+def test_late_grants_place_nothing():
+    world, (first, *_) = make()
+    world.delay_s = 1.2
+    attempt = world.ask(KEY, first, 30.0)
+    world.run(40.0)
+    assert attempt.told == "Unknown"
+    check(world, 0)
+
+
+def test_grants_read_after_a_freeze_place_nothing():
+    world, (first, *_) = make()
+    world.ask(KEY, first, 30.0)
+    world.freeze(first, 5.0)
+    world.run(40.0)
+    check(world, 0)
+
+
+def test_a_cut_off_host_says_unknown_and_learns_the_outcome_later():
+    world, (first, second, _) = make()
+    zones = {world.hosts[first].zone}
+    world.cut = frozenset(zones)
+    inside = world.ask(KEY, first, is_routed=False)
+    outside = world.ask(KEY, second, is_routed=False)
+    world.run(3.0)
+    told = {inside.told, outside.told}
+    assert "Unknown" in told and "Refuse" not in told
+    world.cut = frozenset()
+    world.run(3.0)
+    again = world.ask(KEY, first)
+    world.run(1.0)
+    assert again.told == "Answer"
+    check(world, 1)
+
+
+def test_a_replaced_member_does_not_open_a_second_majority():
+    world, (first, second, third) = make()
+    world.broken = {tuple(sorted((name, third))) for name in (first, second)}
+    world.ask(KEY, first, is_routed=False)
+    world.run(1.0)
+    world.broken = set()
+    world.replace_host(first, 0.1)
+    world.run(0.2)
+    (new,) = set(world.hosts) - {f"h{i}" for i in range(6)}
+    world.start_host(new, world.hosts[new].zone, True)
+    assert world.hosts[new].groups.divisor(new) == 0
+    assert world.hosts[third].groups.divisor(third) == 7
+    world.freeze(second, 30.0)
+    for name in (third, new):
+        world.ask(KEY, name, is_routed=False)
+    world.run(10.0)
+    check(world, 1)
+
+
+def test_a_leaving_member_hands_its_records_over():
+    world, (first, second, third) = make()
+    world.broken = {tuple(sorted((name, third))) for name in (first, second)}
+    world.ask(KEY, first, is_routed=False)
+    world.run(1.0)
+    world.broken = set()
+    leaver = world.hosts[second]
+    leaver.coordinator.leave()
+    assert leaver.coordinator.is_idle
+    world.perform(leaver, leaver.coordinator.hand_over(world.now))
+    world.run(0.1)
+    world.kill(second)
+    world.kill(first)
+    again = world.ask(KEY, third, is_routed=False)
+    world.run(1.0)
+    assert again.told == "Answer"
+    check(world, 1)
+
+
+def test_a_full_store_grants_nothing_new():
+    roster = _request_world.make_roster(1, [0, 1, 2])
+    groups = requests.KeyGroups(roster, 60.0)
+    recovery = requests.Recovery(0.0, 60.0, True)
+    store = requests.ClaimStore(ids.HostId("h0"), groups, recovery, 2)
+    verdicts = []
+    for number in range(3):
+        key = ids.RequestKey(bytes([number]) * 16)
+        claim = largest_claim(key, number)
+        verdicts.append(store.receive(claim, 1.0, ids.HostId("h1")).verdict)
+    assert [v.name for v in verdicts] == ["GRANTED", "GRANTED", "FULL"]
+    store.tick(200.0)
+    assert len(store) == 0
+
+
+def largest_claim(key, number):
+    placements = tuple(
+        requests.Placement(requests.ClaimId(2**64 - 1), f"u{i}" * 16)
+        for i in range(4)
+    )
+    ids_of_claims = (requests.ClaimId(2**64 - 1),) * 12
+    return requests.Claim(
+        key,
+        requests.ClaimId(number),
+        requests.AttemptId(2**64 - 1),
+        ids.HostId("h" * 64),
+        ids.Incarnation(2**63),
+        2**32,
+        ids.UpstreamId("u" * 64),
+        100_000,
+        100_000,
+        ids_of_claims,
+        placements,
+        ids_of_claims[:1],
+    )
+
+
+def test_the_largest_messages_fit_and_hostile_ones_are_refused():
+    codec = requests.make_codec()
+    answer = requests.Outcome(
+        requests.ClaimId(2**64 - 1), b"a" * 1024, "h" * 64
+    )
+    for message in (
+        largest_claim(KEY, 1),
+        requests.RecordOutcome(KEY, answer, 10**6),
+    ):
+        data = codec.encode(message)
+        assert len(data) <= 1200
+        assert codec.decode(data) == message
+        with pytest.raises(errors.FoxtailError):
+            codec.decode(data[:-1])
