--- /dev/null
+++ b/foxtailworks/entry/_choice.py
@@ -0,0 +1,109 @@
+"""Which upstream a request goes to."""
+
+from collections import abc
+import random
+import typing
+
+from foxtailworks.entry import _services
+from foxtailworks import ids
+from foxtailworks import placement
+from foxtailworks import upstreams
+
+
+_OUTCOMES = {
+    placement.Outcome.ANSWERED: upstreams.Outcome.ANSWERED,
+    placement.Outcome.SHED: upstreams.Outcome.SHED,
+    placement.Outcome.SILENT: upstreams.Outcome.SILENT,
+}
+
+
+def _as_candidate(item: upstreams.Candidate) -> placement.Candidate:
+    """Return a candidate in the form of the balancer."""
+    return placement.Candidate(
+        upstream=item.id,
+        zone=item.upstream.zone,
+        slots=item.upstream.slots,
+        weight=item.weight / item.upstream.slots,
+    )
+
+
+class Choice:
+    """Chooses among the candidates of a service."""
+
+    def __init__(
+        self,
+        directory: upstreams.Directory,
+        services: _services.ServiceIndex,
+        zone: ids.ZoneId,
+        rng: random.Random,
+        clock: abc.Callable[[], float],
+    ) -> None:
+        self._policy = placement.LeastSeen(zone)
+        self._balancer = placement.Balancer(self._policy)
+        self._directory = directory
+        self._services = services
+        self._rng = rng
+        self._clock = clock
+
+    def _candidates(
+        self, service: ids.ServiceId
+    ) -> tuple[upstreams.Candidate, ...]:
+        """Return the upstreams that may take new work of a service."""
+        route = self._services.get(service)
+        if route is None:
+            return ()
+        return self._directory.candidates(
+            route.customer, route.service.name, self._clock()
+        )
+
+    def __call__(
+        self,
+        service: ids.ServiceId,
+        excluded: typing.Collection[ids.UpstreamId],
+    ) -> ids.UpstreamId | None:
+        """Return the upstream for one request, none of ``excluded``."""
+        found = [
+            _as_candidate(item)
+            for item in self._candidates(service)
+            if item.id not in excluded
+        ]
+        chosen = self._balancer.choose(found, self._clock(), self._rng)
+        return chosen.upstream if chosen is not None else None
+
+    def set_hosts(
+        self, me: ids.HostId, hosts: abc.Iterable[placement.HostView]
+    ) -> None:
+        """Take in the live hosts."""
+        self._policy.set_hosts(me, hosts)
+
+    def in_flight(self, upstream: ids.UpstreamId) -> int:
+        """Return the requests of this host that an upstream has."""
+        return self._balancer.seen(upstream).in_flight
+
+    def on_sent(self, upstream: ids.UpstreamId) -> None:
+        """Note a request that went out."""
+        self._directory.on_placed(upstream, self._clock())
+        self._balancer.on_sent(upstream)
+
+    def on_ended(
+        self,
+        upstream: ids.UpstreamId,
+        outcome: placement.Outcome,
+        latency_ms: float,
+    ) -> None:
+        """Note how a request that went out ended."""
+        now = self._clock()
+        self._directory.observe(upstream, _OUTCOMES[outcome], latency_ms, now)
+        self._balancer.on_ended(upstream, outcome, now, self._rng)
+
+    def on_silence(self, upstream: ids.UpstreamId, waited_ms: float) -> None:
+        """Note that an upstream is silent; the request is still out."""
+        self._directory.observe(
+            upstream, upstreams.Outcome.SILENT, waited_ms, self._clock()
+        )
+
+    def on_dropped(self, upstream: ids.UpstreamId) -> None:
+        """Note that an answer is awaited no more."""
+        self._balancer.on_ended(
+            upstream, placement.Outcome.SILENT, self._clock(), self._rng
+        )
--- a/foxtailworks/membership/_zones.py
+++ b/foxtailworks/membership/_zones.py
@@ -12,7 +12,6 @@
 from foxtailworks.membership import _hosts
 from foxtailworks.membership import _messages
 from foxtailworks.membership import _replica
-from foxtailworks.membership import _rumours
 
 REPORT_REFRESH_S = 5.0
 MAX_REPORTS = 1_024
@@ -63,10 +62,11 @@
         self._hosts = hosts
         self._reports: dict[tuple[ids.HostId, ids.ZoneId], _Report] = {}
         self._contacts: dict[ids.ZoneId, _Contact] = {}
-        self._zone_hosts = 1
+        self._queue = _replica.Queue()
         self._sequence = 0
+        self._leaving = False
         self.cut: frozenset[ids.ZoneId] = frozenset()
-        self.rumours = _rumours.Rumours()
+        self.rumours = self._queue.rumours
         self.hashes = _replica.BucketHashes()
         self.changed_at = 0.0
 
@@ -74,10 +74,19 @@
         """Return the relays of ``zone``."""
         return choose_relays(self._hosts.live_in(zone), self._cfg.relays)
 
+    def leave(self) -> None:
+        """Watch other zones by oneself: news no longer comes here."""
+        self._leaving = True
+
     def is_relay(self) -> bool:
-        """Tell whether this host is a relay of its zone."""
-        ids_ = (host.id for host in self.relays(self._me.zone))
-        return self._me.id in ids_
+        """Tell whether this host speaks with other zones."""
+        return self._me.id in self._reporters()
+
+    def _reporters(self) -> set[ids.HostId]:
+        """Return the hosts whose reports count here."""
+        if self._leaving:
+            return {self._me.id}
+        return {host.id for host in self.relays(self._me.zone)}
 
     def note_asked(self, zone: ids.ZoneId, now: float) -> None:
         """Count a probe that went to another zone."""
@@ -111,12 +120,12 @@
             report = _messages.ZoneReport(
                 self._me.id, self._sequence, zone, reachable
             )
-            events += self.merge(report, True, now)
+            events += self.merge(report, _replica.Spread.ZONE, now)
         return events
 
-    def set_hosts(self, count: int) -> None:
-        """Learn how many hosts of the own availability zone are live."""
-        self._zone_hosts = count
+    def set_role(self, zone_hosts: int, is_relay: bool) -> None:
+        """Learn the size of the own zone and whether this host relays."""
+        self._queue.set_role(zone_hosts, is_relay)
 
     def decode(self, item: bytes) -> _messages.ZoneReport:
         """Return the report in ``item``."""
@@ -125,7 +134,10 @@
         return report
 
     def merge(
-        self, record: _messages.ZoneReport, from_own_zone: bool, now: float
+        self,
+        record: _messages.ZoneReport,
+        spread: _replica.Spread,
+        now: float,
     ) -> list[object]:
         """Take a report in if it is newer; only relays of the own zone."""
         reporter = self._hosts.get(record.reporter)
@@ -139,18 +151,17 @@
             return []
         until = now + self._cfg.zone_report_s
         self._reports[key] = _Report(record.sequence, record.reachable, until)
-        self.rumours.put(
+        self._queue.put(
             f"{record.reporter}/{record.zone}",
             _messages.CODEC.encode(record),
-            inner=_hosts.inner_sends(self._zone_hosts),
-            outer=0,
+            _replica.Spread.ZONE,
             urgent=True,
         )
         return self._judge(now)
 
     def _judge(self, now: float) -> list[object]:
         """Work out which zones are cut off; tell the changes."""
-        relays = {host.id for host in self.relays(self._me.zone)}
+        relays = self._reporters()
         down: collections.Counter[ids.ZoneId] = collections.Counter(
             zone
             for (reporter, zone), report in self._reports.items()
