--- a/foxtailworks/bench/_request_world.py
+++ b/foxtailworks/bench/_request_world.py
@@ -101,6 +101,7 @@
         self.doubling = 0.0
         self.delay_s = 0.001
         self.strike: Strike | None = None
+        self.avoids_cut = False
         self.broken: set[tuple[ids.HostId, ids.HostId]] = set()
         self.cut: frozenset[ids.ZoneId] = frozenset()
         self.counts: collections.Counter[str] = collections.Counter()
@@ -144,6 +145,7 @@
                 item.name
                 for item in self.upstreams.values()
                 if item.is_up and item.name not in excluded
+                if not self.avoids_cut or self._reaches(zone, item.zone)
             ]
             return rng.choice(able) if able else None
 
@@ -313,7 +315,7 @@
         self, source: ids.ZoneId, target: ids.ZoneId, deliver: Event
     ) -> None:
         """Lose, double or delay a datagram."""
-        if (source in self.cut) != (target in self.cut):
+        if not self._reaches(source, target):
             return
         copies = 2 if self.rng.random() < self.doubling else 1
         for _ in range(copies):
@@ -330,6 +332,10 @@
                 lambda: self._arrive(host, arrival, False),
             )
 
+    def _reaches(self, source: ids.ZoneId, target: ids.ZoneId) -> bool:
+        """Return whether no cut lies between two availability zones."""
+        return (source in self.cut) == (target in self.cut)
+
     def _arrive(
         self, host: Host, arrival: requests.Arrival, passed: bool
     ) -> None:
--- a/foxtailworks/limits/_messages.py
+++ b/foxtailworks/limits/_messages.py
@@ -35,10 +35,20 @@
     renews: int = 0
 
 
-Message = AskLease | Lease
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReturnLease:
+    """Gives a lease back; the sender has stopped using it."""
+
+    customer: ids.CustomerId
+    service: ids.ServiceId
+    resource: int
+    number: int
+
+
+Message = AskLease | Lease | ReturnLease
 
 # Numbers 300 to 349 on the wire.
-MESSAGES: dict[int, type] = {300: AskLease, 301: Lease}
+MESSAGES: dict[int, type] = {300: AskLease, 301: Lease, 302: ReturnLease}
 
 
 def make_codec() -> wire.Codec:
--- a/foxtailworks/limits/_shares.py
+++ b/foxtailworks/limits/_shares.py
@@ -154,6 +154,7 @@
             _drop_ended(now, account)
             if now >= account.ask_at:
                 account.ask_at = now + ASK_EVERY_S
+                out += self._give_back(limit, account)
                 out += self._ask(now, limit, account)
         return tuple(out)
 
@@ -161,9 +162,13 @@
         self, now: float, sender: ids.HostId, message: _messages.Message
     ) -> tuple[Send, ...]:
         """Take in a question for a lease, or a lease."""
-        if isinstance(message, _messages.AskLease):
-            return self._lend(now, sender, message)
-        self._borrow(now, sender, message)
+        match message:
+            case _messages.AskLease():
+                return self._lend(now, sender, message)
+            case _messages.Lease():
+                self._borrow(now, sender, message)
+            case _messages.ReturnLease():
+                self._take_back(sender, message)
         return ()
 
     def _own(self, now: float, account: _Account) -> float:
@@ -198,6 +203,37 @@
         for host in self._rng.sample(self._alive, count):
             yield self._question(now, limit, account, host, short / count, 0)
 
+    def _give_back(
+        self, limit: LimitId, account: _Account
+    ) -> typing.Iterator[Send]:
+        """Stop using leases that the traffic no longer needs."""
+        want = account.demand * WANT_MARGIN
+        have = account.own() + sum(i.amount for i in account.taken.values())
+        for number, lease in list(account.taken.items()):
+            if have - lease.amount < want:
+                continue
+            have -= lease.amount
+            del account.taken[number]
+            yield Send(
+                lease.host,
+                _messages.ReturnLease(
+                    limit.customer,
+                    limit.service,
+                    limit.resource.value,
+                    number,
+                ),
+            )
+
+    def _take_back(
+        self, sender: ids.HostId, message: _messages.ReturnLease
+    ) -> None:
+        """Use again what was lent, now that the other has stopped."""
+        limit = _limit_of(message)
+        account = self._accounts.get(limit) if limit else None
+        lease = account.given.get(message.number) if account else None
+        if account and lease and lease.host == sender:
+            del account.given[message.number]
+
     def _question(
         self,
         now: float,
@@ -301,7 +337,7 @@
 
 
 def _limit_of(
-    message: _messages.AskLease | _messages.Lease,
+    message: _messages.Message,
 ) -> LimitId | None:
     """Return the limit that a message speaks of, if there is such a one."""
     try:
