--- /dev/null
+++ b/foxtailworks/entry/_gauges.py
@@ -0,0 +1,62 @@
+"""Brings what the cores count into the metrics."""
+
+from foxtailworks.entry import _cores
+from foxtailworks.entry import _requests
+from foxtailworks import membership
+from foxtailworks import observe
+
+INTERVAL_S = 1.0
+
+
+class Gauges:
+    """Copies levels and growths once a second."""
+
+    def __init__(
+        self,
+        cores: _cores.Cores,
+        path: _requests.RequestPath,
+        metrics: observe.Metrics,
+    ) -> None:
+        self._cores = cores
+        self._path = path
+        self._metrics = metrics
+        self._next = 0.0
+        self._seen: dict[observe.Counter, int] = {}
+
+    def on_tick(self, now: float) -> None:
+        """Copy, when it is due."""
+        if now < self._next:
+            return
+        self._next = now + INTERVAL_S
+        for gauge, level in self._levels().items():
+            self._metrics.gauge(gauge, level)
+        for counter, total in self._totals().items():
+            grown = total - self._seen.get(counter, 0)
+            self._metrics.count(counter, grown)
+            self._seen[counter] = total
+
+    def _levels(self) -> dict[observe.Gauge, float]:
+        """Return each level as of now."""
+        cores = self._cores
+        suspected = membership.HostState.SUSPECT
+        hosts = cores.members.hosts()
+        known = [item for item in cores.directory.all() if item.is_open]
+        return {
+            observe.Gauge.FLOWS_OPEN: cores.placer.flows,
+            observe.Gauge.REQUESTS_IN_FLIGHT: len(self._path.exchanges),
+            observe.Gauge.HOSTS_LIVE: len(cores.members.live()),
+            observe.Gauge.HOSTS_SUSPECTED: sum(
+                1 for item in hosts if item.state is suspected
+            ),
+            observe.Gauge.UPSTREAMS_KNOWN: len(known),
+            observe.Gauge.VERSION_IN_FORCE: cores.contracts.version,
+        }
+
+    def _totals(self) -> dict[observe.Counter, int]:
+        """Return what the cores have counted since the start."""
+        placed = self._cores.placer.counts
+        return {
+            observe.Counter.FLOWS_PLACED: placed.placed,
+            observe.Counter.FLOWS_BROKEN: placed.replaced,
+            observe.Counter.REQUESTS_RETRIED: self._path.retries(),
+        }
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -10,6 +10,7 @@
 from foxtailworks.entry import _cores
 from foxtailworks.entry import _fabric
 from foxtailworks.entry import _flows
+from foxtailworks.entry import _gauges
 from foxtailworks.entry import _keepers
 from foxtailworks.entry import _operators
 from foxtailworks.entry import _peers
@@ -83,6 +84,7 @@
             rng,
             clock,
         )
+        self._gauges = _gauges.Gauges(self.cores, self.requests, metrics)
         self._operators = _operators.Operators(
             self.cores, self.requests, metrics, self.perform, clock
         )
@@ -360,6 +362,7 @@
         self.perform(cores.placer.on_tick(now))
         self.perform(cores.distribution.on_tick(now))
         self.requests.on_tick(now)
+        self._gauges.on_tick(now)
         if self.is_ready():
             self._fabric.on_tick(now)
 
--- a/foxtailworks/entry/_idempotent.py
+++ b/foxtailworks/entry/_idempotent.py
@@ -110,6 +110,10 @@
         self.perform(self._core.tick(now))
         self.perform(self._bodies.tick(now))
 
+    def retries(self) -> int:
+        """Return how often a request was placed again."""
+        return sum(item.spent for item in self._core.budgets.values())
+
     def is_idle(self) -> bool:
         """Tell whether no request is under way."""
         return len(self._core) == 0
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -216,6 +216,10 @@
         if self._keyed is not None:
             self._keyed.on_tick(now)
 
+    def retries(self) -> int:
+        """Return how often a repeatable request was placed again."""
+        return self._idempotent.retries()
+
     # Leaving.
 
     def leave(self) -> None:
