Measure packets and requests through real sockets

Cause: the cost of a packet on a host was not known. Change: one event loop holds sender, host and upstream; a bare relay on the same loop is the baseline.

--- /dev/null
+++ b/foxtailworks/bench/__main__.py
@@ -0,0 +1,36 @@
+"""``python -m foxtailworks.bench``: every figure as a line of JSON."""
+
+from collections import abc
+import typing
+
+import typer
+
+from foxtailworks.bench import _agreement
+from foxtailworks.bench import _distribution
+from foxtailworks.bench import _figure
+from foxtailworks.bench import _limits
+from foxtailworks.bench import _packets
+from foxtailworks.bench import _requests
+
+PARTS: dict[str, abc.Callable[[], abc.Iterator[_figure.Figure]]] = {
+    "packets": _packets.figures,
+    "agreement": _agreement.figures,
+    "distribution": _distribution.figures,
+    "requests": _requests.figures,
+    "limits": _limits.figures,
+}
+
+
+def main(
+    part: typing.Annotated[
+        list[str] | None, typer.Option(help="only these parts")
+    ] = None,
+) -> None:
+    """Measure and print; nothing is asserted here."""
+    for name in part or PARTS:
+        for item in PARTS[name]():
+            print(item.to_json(), flush=True)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -96,7 +96,7 @@
             self.cores.members.me,
             self.cores.contracts,
             rng,
-            self._take_update,
+            self.take_update,
         )
         self._route_messages()
 
@@ -133,7 +133,7 @@
             now = self._clock()
             self.perform(self.cores.distribution.on_message(host, msg, now))
 
-    def _take_update(self, update: contracts.Update) -> None:
+    def take_update(self, update: contracts.Update) -> None:
         """Give a keeper's update to the distribution."""
         now = self._clock()
         self.perform(self.cores.distribution.on_update(update, now))
