Follow which hosts have left an older roster; collect joins until quiet

Hosts started 0.7 s apart, so the roster grew in five epochs; an old roster counts until others are known to have left it, and nothing told so: beyond four rosters hosts refused the newest and called each other's claims stale. Change: hosts tell their epoch while more than one counts; a refused roster is offered again; the leader collects joins until none came for 2 s; keys are kept for the longest retention of the contracts in force, no longer a fixed 300 s.

--- a/foxtailworks/entry/_cores.py
+++ b/foxtailworks/entry/_cores.py
@@ -4,6 +4,7 @@
 import typing
 
 from foxtailworks import contracts
+from foxtailworks.entry import _rosters
 from foxtailworks.entry import _views
 from foxtailworks import ids
 from foxtailworks import limits
@@ -19,6 +20,7 @@
     **placement.MESSAGES,
     **requests.MESSAGES,
     **limits.MESSAGES,
+    **_rosters.MESSAGES,
     **contracts.SPREAD_MESSAGES,
 }
 
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -16,6 +16,7 @@
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _registrations
 from foxtailworks.entry import _requests
+from foxtailworks.entry import _rosters
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
@@ -111,6 +112,9 @@
             functools.partial(self._feed, self.cores.directory.on_message),
         )
         self._peers.on(contracts.SPREAD_MESSAGES.values(), self._take_spread)
+        self._peers.on(
+            _rosters.MESSAGES.values(), self.requests.on_roster_epoch
+        )
         self._peers.on(placement.MESSAGES.values(), self._take_placement)
         self._peers.on(requests.MESSAGES.values(), self.requests.on_message)
         self._peers.on(limits.MESSAGES.values(), self.requests.gate.on_message)
@@ -265,6 +269,10 @@
                 for item in self.services.all()
             }
         )
+        retentions = (
+            item.service.key_retention_s for item in self.services.all()
+        )
+        self.requests.set_retention(float(max(retentions, default=0)))
         if update.roster is not None:
             self.requests.set_roster(update.roster, now)
             self.cores.placer.set_homes(
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -15,6 +15,7 @@
 from foxtailworks.entry import _keyed
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _replies
+from foxtailworks.entry import _rosters
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
@@ -88,7 +89,10 @@
             clock,
         )
         self.in_flight = self._choice.in_flight
+        self._retention_s = RETENTION_S
         self._groups: requests.KeyGroups | None = None
+        self._recovery: requests.Recovery | None = None
+        self._rosters: _rosters.Rosters | None = None
         self._coordinator: requests.Coordinator | None = None
         self._keyed: _keyed.KeyedPath | None = None
 
@@ -103,16 +107,21 @@
         hosts = tuple((item.host, item.zone) for item in roster.hosts)
         current = requests.Roster(int(roster.epoch), hosts)
         mine = roster.find(self._cores.members.me.id)
-        if self._groups is not None:
-            self._groups.change(now, current)
+        if self._rosters is not None:
+            self._rosters.change(current, now)
         elif mine is not None:
             self._start(current, mine.incarnation == self._incarnation)
 
     def _start(self, roster: requests.Roster, fresh: bool) -> None:
         """Make the coordinator and this host's memory of claims."""
         me = self._cores.members.me
-        groups = requests.KeyGroups(roster, RETENTION_S)
-        recovery = requests.Recovery(self._started_at, RETENTION_S, fresh)
+        retention_s = self._retention_s
+        groups = requests.KeyGroups(roster, retention_s)
+        recovery = requests.Recovery(self._started_at, retention_s, fresh)
+        self._rosters = _rosters.Rosters(
+            groups, self._cores.views, self._peers
+        )
+        self._recovery = recovery
         store = requests.ClaimStore(me.id, groups, recovery)
         self._groups = groups
         self._coordinator = requests.Coordinator(
@@ -131,6 +140,20 @@
         )
         self.set_alive()
 
+    def set_retention(self, seconds: float) -> None:
+        """Take in the longest retention of the contracts in force."""
+        self._retention_s = max(self._retention_s, seconds)
+        if self._groups is not None and self._recovery is not None:
+            self._groups.set_retention(self._retention_s)
+            self._recovery.set_retention(self._retention_s)
+
+    def on_roster_epoch(
+        self, src: ids.Address, msg: _rosters.RosterEpoch
+    ) -> None:
+        """Note which roster another host goes by."""
+        if self._rosters is not None:
+            self._rosters.on_message(src, msg, self._clock())
+
     def set_alive(self) -> None:
         """Take in which hosts are held to be live."""
         live = self._cores.members.live()
@@ -213,8 +236,15 @@
         self.exchanges.on_tick(now)
         self.gate.on_tick(now)
         self._idempotent.on_tick(now)
-        if self._keyed is not None:
+        if self._keyed is not None and self._rosters is not None:
             self._keyed.on_tick(now)
+            self._rosters.on_tick(now, self._others())
+
+    def _others(self) -> tuple[ids.HostId, ...]:
+        """Return the other live hosts."""
+        members = self._cores.members
+        live = (item.id for item in members.live())
+        return tuple(item for item in live if item != members.me.id)
 
     def retries(self) -> int:
         """Return how often a repeatable request was placed again."""
--- /dev/null
+++ b/foxtailworks/entry/_rosters.py
@@ -0,0 +1,84 @@
+"""Which roster the other hosts have adopted, while more than one counts."""
+
+from collections import abc
+import dataclasses
+
+from foxtailworks.entry import _peers
+from foxtailworks.entry import _views
+from foxtailworks import ids
+from foxtailworks import requests
+
+ASK_EVERY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RosterEpoch:
+    """Tells which roster the sender's groups of keys go by."""
+
+    epoch: int
+    """Epoch of the newest roster that it has adopted."""
+    asks: bool
+    """The receiver is to answer with its own."""
+
+
+MESSAGES: dict[int, type] = {350: RosterEpoch}
+
+
+class Rosters:
+    """Adopts rosters and follows who else has.
+
+    An older roster counts until the other hosts are known to have left it;
+    while one does, this host asks them once a second.
+    """
+
+    def __init__(
+        self,
+        groups: requests.KeyGroups,
+        views: _views.Views,
+        peers: _peers.Peers,
+    ) -> None:
+        self._groups = groups
+        self._views = views
+        self._peers = peers
+        self._newest = groups.roster
+        self._ask_at = 0.0
+
+    def change(self, roster: requests.Roster, now: float) -> None:
+        """Take in a roster; the hosts that it lacks are off."""
+        kept = {host for host, _ in roster.hosts}
+        gone = [host for host, _ in self._newest.hosts if host not in kept]
+        self._newest = roster
+        self._adopt(now)
+        for host in gone:
+            self._groups.adopted(now, host, roster.epoch)
+
+    def _adopt(self, now: float) -> None:
+        """Offer the newest roster, again when it had to wait."""
+        if self._newest.epoch > self._groups.epoch:
+            self._groups.change(now, self._newest)
+
+    def on_message(
+        self, src: ids.Address, msg: RosterEpoch, now: float
+    ) -> None:
+        """Note what another host has adopted."""
+        host = self._views.host_at(src)
+        if host is None:
+            return
+        self._groups.adopted(now, host, msg.epoch)
+        if msg.asks:
+            self._peers.send(src, RosterEpoch(self._groups.epoch, False))
+
+    def on_tick(self, now: float, hosts: abc.Iterable[ids.HostId]) -> None:
+        """Ask the live hosts while an older roster counts."""
+        if now < self._ask_at:
+            return
+        self._ask_at = now + ASK_EVERY_S
+        self._adopt(now)
+        if not self._groups.is_joint:
+            return
+        for host in hosts:
+            address = self._views.address_of(host)
+            if address is not None:
+                self._peers.send(
+                    address, RosterEpoch(self._groups.epoch, True)
+                )
--- a/foxtailworks/keeper/_program.py
+++ b/foxtailworks/keeper/_program.py
@@ -22,8 +22,11 @@
 from foxtailworks import settings
 
 TICK_S = 0.02
-# Joins within this time become one change of the roster.
-COLLECT_JOINS_S = 1.0
+# Joins become one change of the roster once none has come for a while:
+# each change makes claims need the groups of one roster more.
+COLLECT_JOINS_S = 2.0
+MAX_COLLECT_S = 10.0
+PASS_JOINS_S = 0.2
 LEAVE_S = 0.2
 # An edit or a read that waits longer for a majority is given up.
 DECIDE_S = 5.0
@@ -68,6 +71,8 @@
         self._reads: dict[int, asyncio.Future[bool]] = {}
         self._joins: dict[ids.HostId, contracts.RosterHost] = {}
         self._joins_at = 0.0
+        self._joins_until = 0.0
+        self._pass_at = 0.0
         self._fed = ids.ZERO_VERSION
         self.failed: errors.FoxtailError | None = None
 
@@ -282,10 +287,14 @@
     def _collect(self, host: contracts.RosterHost) -> None:
         """Collect a host until the joins of a while become one change."""
         known = self.node.catalogue.view.roster.find(host.host)
-        if known is None or not known.same_place(host):
-            if not self._joins:
-                self._joins_at = self._clock() + COLLECT_JOINS_S
-            self._joins[host.host] = host
+        if known is not None and known.same_place(host):
+            return
+        now = self._clock()
+        if not self._joins:
+            self._joins_until = now + MAX_COLLECT_S
+        if self._joins.get(host.host) != host:
+            self._joins_at = min(now + COLLECT_JOINS_S, self._joins_until)
+        self._joins[host.host] = host
 
     # Time.
 
@@ -378,7 +387,10 @@
 
     def _change_roster(self, now: float) -> None:
         """Propose collected joins, or pass them to the leader."""
-        if not self._joins or now < self._joins_at:
+        if not self._joins:
+            return
+        leads = self.node.replica.role is agreement.Role.LEADER
+        if now < (self._joins_at if leads else self._pass_at):
             return
         roster = self.node.catalogue.view.roster
         for host in list(self._joins):
@@ -388,9 +400,10 @@
         if not self._joins:
             return
         self._joins_at = now + COLLECT_JOINS_S
+        self._pass_at = now + PASS_JOINS_S
         joined = tuple(self._joins.values())
         replica = self.node.replica
-        if replica.role is agreement.Role.LEADER:
+        if leads:
             with contextlib.suppress(errors.FoxtailError):
                 self.node.propose(contracts.RosterEdit(joined=joined), now)
                 self.pump()
--- a/foxtailworks/requests/_groups.py
+++ b/foxtailworks/requests/_groups.py
@@ -97,6 +97,10 @@
             ids.RequestKey, tuple[Group, ...]
         ] = collections.OrderedDict()
 
+    def set_retention(self, seconds: float) -> None:
+        """Take in a longer retention; a shorter one changes nothing."""
+        self._retention_s = max(self._retention_s, seconds)
+
     @property
     def epoch(self) -> int:
         """Return the epoch of the newest roster."""
--- a/foxtailworks/requests/_recovery.py
+++ b/foxtailworks/requests/_recovery.py
@@ -66,12 +66,19 @@
         self, started_at: float, retention_s: float, fresh: bool
     ) -> None:
         self._started_at = started_at
+        self._is_fresh = fresh
         kept_s = retention_s + _groups.KEEP_SLACK_S
         self._over_at = started_at if fresh else started_at + kept_s
         self._peers: dict[ids.HostId, _Peer] = {}
         self._seen: set[int] = set()
         self._asked_at = started_at
 
+    def set_retention(self, seconds: float) -> None:
+        """Take in a longer retention; a shorter one changes nothing."""
+        if not self._is_fresh:
+            over_at = self._started_at + seconds
+            self._over_at = max(self._over_at, over_at)
+
     def is_over(self, now: float) -> bool:
         """Return whether the member may vouch for all keys."""
         return now >= self._over_at
