Let a planned restart keep its group's memory

Cause: a restarted member vouched for no key until the others had been read, and others that had restarted themselves couldn't be read for the retention and 60 s. A rolling restart of all hosts left most groups without a majority.

Who has kept all is an heir: the next start of that host, and only that one, may vouch after having read one heir. A member that can't vouch for a key keeps no handed claim of it, for what stands counts as granted.

--- a/foxtailworks/bench/_request_walk.py
+++ b/foxtailworks/bench/_request_walk.py
@@ -88,6 +88,13 @@
         world.start_host(host.name, host.zone, False)
 
 
+def _leave(world: World, rng: random.Random) -> None:
+    """Restart a host as planned."""
+    host = world.hosts[_host(world, rng)]
+    if host.is_up and not host.is_leaving:
+        world.leave(host.name, rng.choice([0.1, 1.0]))
+
+
 def _cut(world: World, rng: random.Random) -> None:
     """Cut an availability zone off, or heal."""
     zones = [frozenset[ids.ZoneId](), frozenset([ids.ZoneId("z0")])]
@@ -136,6 +143,7 @@
     (8, "strike", _strike),
     (4, "kill", _kill),
     (6, "restart", _restart),
+    (6, "leave", _leave),
     (4, "cut", _cut),
     (5, "disturb", _disturb),
     (6, "shed", _shed),
--- a/foxtailworks/bench/_request_world.py
+++ b/foxtailworks/bench/_request_world.py
@@ -54,6 +54,7 @@
     groups: requests.KeyGroups
     coordinator: requests.Coordinator
     is_up: bool = True
+    is_leaving: bool = False
     frozen_until: float = 0.0
     held: list[Event] = dataclasses.field(default_factory=list)
 
@@ -133,8 +134,10 @@
             self.roster, RETENTION_S, self._older_rosters()
         )
         recovery = requests.Recovery(self.now, RETENTION_S, fresh)
-        store = requests.ClaimStore(name, groups, recovery)
         incarnation = ids.Incarnation(next(self._serial))
+        store = requests.ClaimStore(
+            name, groups, recovery, incarnation=incarnation
+        )
         rng = random.Random(self.rng.random())
 
         def choose(
@@ -216,6 +219,38 @@
         """End a host at once."""
         self.hosts[name].is_up = False
 
+    def leave(self, name: ids.HostId, back_after_s: float) -> None:
+        """Restart a host as planned: it finishes and hands over first."""
+        host = self.hosts[name]
+        host.coordinator.leave()
+        host.is_leaving = True
+        self._finish_leaving(host, back_after_s, False)
+
+    def _finish_leaving(
+        self, host: Host, back_after_s: float, has_begun: bool
+    ) -> None:
+        """Hand over once idle; stop once that is done."""
+        if not host.is_up or self.hosts[host.name] is not host:
+            return
+        core = host.coordinator
+        if self.now >= host.frozen_until:
+            if not has_begun and core.is_idle:
+                self._event(host, lambda: core.hand_over(self.now))
+                has_begun = True
+            elif has_begun and core.is_handed_over(self.now):
+                self.kill(host.name)
+                self.at(back_after_s, lambda: self._come_back(host))
+                return
+        self.at(
+            TICK_S,
+            lambda: self._finish_leaving(host, back_after_s, has_begun),
+        )
+
+    def _come_back(self, old: Host) -> None:
+        """Start a host again unless something else has."""
+        if self.hosts[old.name] is old:
+            self.start_host(old.name, old.zone, False)
+
     def freeze(self, name: ids.HostId, seconds: float) -> None:
         """Stop a host where it is; it goes on afterwards."""
         host = self.hosts[name]
--- a/foxtailworks/requests/__init__.py
+++ b/foxtailworks/requests/__init__.py
@@ -45,10 +45,13 @@
 from foxtailworks.requests._messages import BodyBound
 from foxtailworks.requests._messages import Claim
 from foxtailworks.requests._messages import ClaimId
+from foxtailworks.requests._messages import HandOver
+from foxtailworks.requests._messages import Left
 from foxtailworks.requests._messages import make_codec
 from foxtailworks.requests._messages import Message
 from foxtailworks.requests._messages import MESSAGES
 from foxtailworks.requests._messages import Outcome
+from foxtailworks.requests._messages import PageRequest
 from foxtailworks.requests._messages import Placement
 from foxtailworks.requests._messages import RecordOutcome
 from foxtailworks.requests._recovery import Recovery
@@ -72,10 +75,13 @@
     "ClaimStore",
     "Coordinator",
     "Group",
+    "HandOver",
     "IdempotentRequests",
     "KeyGroups",
+    "Left",
     "Message",
     "Outcome",
+    "PageRequest",
     "PassTo",
     "Place",
     "PlaceTry",
--- a/foxtailworks/requests/_coordinator.py
+++ b/foxtailworks/requests/_coordinator.py
@@ -178,10 +178,16 @@
         self._is_leaving = True
 
     def hand_over(self, now: float) -> _Actions:
-        """Give this member's records to the others and grant no more."""
-        for host, message in self._store.hand_over(now):
-            self._send(host, message)
-        return self._flush(now)
+        """Give this member's records to the others and grant no more.
+
+        Ticks repeat what was lost until :meth:`is_handed_over`.
+        """
+        self._store.hand_over(now)
+        return self.tick(now)
+
+    def is_handed_over(self, now: float) -> bool:
+        """Return whether the process may end."""
+        return self._store.is_handed_over(now)
 
     def _open(self, arrival: _actions.Arrival) -> _entry.Entry | None:
         """Return a new entry; none when there are too many."""
--- a/foxtailworks/requests/_fences.py
+++ b/foxtailworks/requests/_fences.py
@@ -42,6 +42,12 @@
         """Return the keys of all marks."""
         return itertools.chain(self._young.values(), self._old.values())
 
+    def items(
+        self,
+    ) -> typing.Iterator[tuple[_messages.AttemptId, ids.RequestKey]]:
+        """Return all marked attempts and their keys."""
+        return itertools.chain(self._young.items(), self._old.items())
+
     def mark(
         self,
         now: float,
--- a/foxtailworks/requests/_messages.py
+++ b/foxtailworks/requests/_messages.py
@@ -163,6 +163,25 @@
     claim: Claim | None
     outcome: Outcome | None
     keep_ms: int
+    marks: tuple[AttemptId, ...] = ()
+    """Attempts of the key that were told that they didn't run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Left:
+    """A leaving member grants no more and has handed all over."""
+
+    incarnation: ids.Incarnation
+    """Of the process that leaves."""
+    count: int
+    """How many hand-overs it has sent to the receiver."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeftAck:
+    """All hand-overs of a leaving member are kept."""
+
+    incarnation: ids.Incarnation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +191,8 @@
     page: int
     """Fingerprints that are ``page`` modulo ``pages``."""
     pages: int
+    incarnation: ids.Incarnation
+    """Of the member that asks."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,6 +205,8 @@
     """Four bytes each."""
     too_many: bool = False
     """The page doesn't fit; ask again with more pages."""
+    is_heir: bool = False
+    """All that the asking host's last incarnation knew is in here."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -213,6 +236,8 @@
     | RecordOutcome
     | OutcomeAck
     | HandOver
+    | Left
+    | LeftAck
     | PageRequest
     | Page
     | BodyBind
@@ -232,6 +257,8 @@
     258: Page,
     259: BodyBind,
     260: BodyBound,
+    261: Left,
+    262: LeftAck,
 }
 
 
--- a/foxtailworks/requests/_recovery.py
+++ b/foxtailworks/requests/_recovery.py
@@ -2,6 +2,7 @@
 
 import array
 import dataclasses
+import itertools
 import typing
 
 import xxhash
@@ -23,7 +24,9 @@
 
 
 def make_page(
-    request: _messages.PageRequest, known: typing.Iterable[int]
+    request: _messages.PageRequest,
+    known: typing.Iterable[int],
+    is_heir: bool,
 ) -> _messages.Page:
     """Return the fingerprints of one page."""
     pages = max(1, min(request.pages, MAX_PAGES))
@@ -32,7 +35,9 @@
     )
     if len(found) > MAX_PAGE_FINGERPRINTS:
         return _messages.Page(request.page, request.pages, b"", True)
-    return _messages.Page(request.page, request.pages, found.tobytes())
+    return _messages.Page(
+        request.page, request.pages, found.tobytes(), False, is_heir
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +46,8 @@
 
     pages: int = 1
     done: set[int] = dataclasses.field(default_factory=set)
+    is_heir: bool = False
+    """It keeps all that this host knew before its planned restart."""
 
     @property
     def is_whole(self) -> bool:
@@ -53,7 +60,8 @@
 
     It may once the longest retention has passed since its start, or once it
     has read every other member of the key's groups and none remembers the
-    key.  It asks only after ``SETTLE_S``: by then each claim that counted a
+    key.  After a planned restart one that has kept its hand-over is enough.
+    It asks only after ``SETTLE_S``: by then each claim that counted a
     grant from before the restart has its other grants too, so that they are
     in what is read.
 
@@ -85,14 +93,18 @@
         """Return whether the member knows all it may have granted."""
         if self.is_over(now):
             return True
-        for host in others:
-            peer = self._peers.get(host)
-            if peer is None or not peer.is_whole:
-                return False
+        peers = [self._peers.get(host) for host in others]
+        whole = [item for item in peers if item and item.is_whole]
+        is_read = len(whole) == len(peers)
+        if not is_read and not any(item.is_heir for item in whole):
+            return False
         return fingerprint(key) not in self._seen
 
     def ask(
-        self, now: float, hosts: typing.Iterable[ids.HostId]
+        self,
+        now: float,
+        hosts: typing.Iterable[ids.HostId],
+        incarnation: ids.Incarnation,
     ) -> list[tuple[ids.HostId, _messages.PageRequest]]:
         """Return what to ask of which host now."""
         if self.is_over(now) or now < self._asked_at + ASK_EVERY_S:
@@ -103,7 +115,14 @@
         asked = []
         for host in hosts:
             peer = self._peers.setdefault(host, _Peer())
-            asked += [(host, item) for item in self._missing(peer)]
+            pages = self._missing(peer)
+            asked += [
+                (
+                    host,
+                    _messages.PageRequest(page, peer.pages, incarnation),
+                )
+                for page in pages
+            ]
         return asked
 
     def read(self, host: ids.HostId, page: _messages.Page) -> None:
@@ -115,15 +134,16 @@
             peer.pages = min(peer.pages * 4, MAX_PAGES)
             peer.done.clear()
             return
+        if peer.done and peer.is_heir is not page.is_heir:
+            # The other host has restarted meanwhile: read it anew.
+            peer.done.clear()
+        peer.is_heir = page.is_heir
         if len(page.fingerprints) % 4 or not 0 <= page.page < peer.pages:
             return
         self._seen.update(array.array("I", page.fingerprints))
         peer.done.add(page.page)
 
-    def _missing(self, peer: _Peer) -> list[_messages.PageRequest]:
+    def _missing(self, peer: _Peer) -> list[int]:
         """Return the next few pages to ask for."""
         left = (page for page in range(peer.pages) if page not in peer.done)
-        return [
-            _messages.PageRequest(page, peer.pages)
-            for page, _ in zip(left, range(PAGES_IN_FLIGHT), strict=False)
-        ]
+        return list(itertools.islice(left, PAGES_IN_FLIGHT))
--- a/foxtailworks/requests/_store.py
+++ b/foxtailworks/requests/_store.py
@@ -7,12 +7,14 @@
 
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks.requests import _departures
 from foxtailworks.requests import _fences
 from foxtailworks.requests import _groups
 from foxtailworks.requests import _messages
 from foxtailworks.requests import _recovery
 
 MAX_RECORDS = 50_000
+NO_INCARNATION = ids.Incarnation(0)
 _Verdict = _messages.Verdict
 
 
@@ -48,6 +50,7 @@
     :param groups: the groups of keys
     :param recovery: what a restarted member must read first
     :param max_records: how many keys are remembered
+    :param incarnation: of this start of the process
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         groups: _groups.KeyGroups,
         recovery: _recovery.Recovery,
         max_records: int = MAX_RECORDS,
+        incarnation: ids.Incarnation = NO_INCARNATION,
     ) -> None:
         self._host = host
         self._groups = groups
@@ -65,7 +69,9 @@
         self._buckets: dict[int, set[ids.RequestKey]] = {}
         self._fences = _fences.Fences()
         self._epoch = groups.epoch
-        self._is_closed = False
+        self._incarnation = incarnation
+        self._departures = _departures.Departures()
+        self._leaving: _departures.HandOver | None = None
         self.counts: collections.Counter[_Verdict] = collections.Counter()
 
     def __len__(self) -> int:
@@ -81,30 +87,34 @@
             errors.Code.INTERNAL, "not for a store", kind=type(message)
         )
 
-    def tick(
-        self, now: float
-    ) -> list[tuple[ids.HostId, _messages.PageRequest]]:
-        """Let expired keys go; return what to ask after a restart."""
+    def tick(self, now: float) -> list[tuple[ids.HostId, _messages.Message]]:
+        """Let expired keys go; return what to ask or to hand over."""
         for bucket in [item for item in self._buckets if item <= now]:
             for key in self._buckets.pop(bucket):
                 self._expire(now, key)
         self._fences.tick(now)
+        if self._leaving is not None:
+            return list(self._leaving.due(now))
         others = (h for h, _ in self._groups.roster.hosts if h != self._host)
-        return self._recovery.ask(now, others)
-
-    def hand_over(
-        self, now: float
-    ) -> list[tuple[ids.HostId, _messages.HandOver]]:
-        """Return every record for the others; grant nothing from now on."""
-        self._is_closed = True
-        handed = []
-        for key, record in self._records.items():
-            keep_ms = int((record.expires_at - now) * 1000)
-            message = _messages.HandOver(
-                key, record.claim, record.outcome, keep_ms
-            )
-            handed += [(host, message) for host in self._others(key)]
-        return handed
+        asked = self._recovery.ask(now, others, self._incarnation)
+        return list[tuple[ids.HostId, _messages.Message]](asked)
+
+    def hand_over(self, now: float) -> None:
+        """Grant nothing from now on and give all to the others."""
+        parts: dict[ids.HostId, list[_messages.HandOver]] = {
+            host: [] for host, _ in self._groups.roster.hosts
+        }
+        parts.pop(self._host, None)
+        marks = _departures.marks_by_key(self._fences)
+        for key in dict.fromkeys((*self._records, *marks)):
+            message = self._describe(now, key, marks.get(key, ()))
+            for host in self._others(key):
+                parts.setdefault(host, []).append(message)
+        self._leaving = _departures.HandOver(now, self._incarnation, parts)
+
+    def is_handed_over(self, now: float) -> bool:
+        """Return whether the hand-over is done."""
+        return self._leaving is not None and self._leaving.is_done(now)
 
     @receive.register
     def _on_claim(
@@ -163,29 +173,59 @@
     def _on_hand_over(
         self, message: _messages.HandOver, now: float, sender: ids.HostId
     ) -> None:
-        """Take over the record of a leaving member where none stands."""
-        record = self._open(now, message.key, message.keep_ms)
+        """Keep what a leaving member knows of a key.
+
+        A claim is kept only where this member could have granted one: what
+        stands in its records counts as granted.
+        """
+        key = message.key
+        if message.marks and not self._fences.mark(now, key, message.marks, 0):
+            return
+        if message.outcome is None and message.claim is None:
+            self._departures.keep(sender, key, True)
+            return
+        vouches = self._vouches(now, key)
+        if message.outcome is None and not vouches:
+            return
+        record = self._open(now, key, message.keep_ms)
         if record is None:
             return
         if message.outcome is not None:
-            self._keep_outcome(record, message.key, message.outcome)
-        elif message.claim and not record.claim and not record.outcome:
+            self._keep_outcome(record, key, message.outcome)
+        elif record.claim is None and record.outcome is None:
             record.claim = message.claim
-            record.due_at = now + message.claim.due_ms / 1000
+            record.due_at = now + self._due_s(message.claim)
+        self._departures.keep(sender, key, False)
+
+    @receive.register
+    def _on_left(
+        self, message: _messages.Left, now: float, sender: ids.HostId
+    ) -> _messages.LeftAck | None:
+        """Acknowledge a hand-over that is whole."""
+        return self._departures.leave(sender, message)
+
+    @receive.register
+    def _on_left_ack(
+        self, message: _messages.LeftAck, now: float, sender: ids.HostId
+    ) -> None:
+        """Note who keeps what this member has handed over."""
+        if self._leaving is not None:
+            self._leaving.acked(sender, message)
 
     @receive.register
     def _on_page_request(
         self, message: _messages.PageRequest, now: float, sender: ids.HostId
     ) -> _messages.Page | None:
         """Tell a restarted member which of its keys are remembered."""
-        if not self._recovery.is_over(now):
+        is_heir = self._departures.is_heir(sender, message.incarnation)
+        if not is_heir and not self._recovery.is_over(now):
             return None
         known = (
             _recovery.fingerprint(key)
             for key in itertools.chain(self._records, self._fences.keys())
             if sender in self._groups.members(key)
         )
-        return _recovery.make_page(message, known)
+        return _recovery.make_page(message, known, is_heir)
 
     @receive.register
     def _on_page(
@@ -317,6 +357,26 @@
             int((record.due_at - now) * 1000),
         )
 
+    def _describe(
+        self,
+        now: float,
+        key: ids.RequestKey,
+        marks: tuple[_messages.AttemptId, ...],
+    ) -> _messages.HandOver:
+        """Return all that is known of a key, for another member."""
+        marks = marks[-_messages.MAX_ATTEMPTS :]
+        record = self._records.get(key)
+        if record is None:
+            return _messages.HandOver(key, None, None, 0, marks)
+        keep_ms = int((record.expires_at - now) * 1000)
+        return _messages.HandOver(
+            key, record.claim, record.outcome, keep_ms, marks
+        )
+
+    def _due_s(self, claim: _messages.Claim | None) -> float:
+        """Return after how long a claim may be resolved by others."""
+        return claim.due_ms / 1000 if claim else 0.0
+
     def _others(self, key: ids.RequestKey) -> list[ids.HostId]:
         """Return the other members of the key's groups."""
         members = self._groups.members(key)
@@ -332,7 +392,7 @@
 
     def _vouches(self, now: float, key: ids.RequestKey) -> bool:
         """Return whether this member remembers all that it granted."""
-        if self._is_closed:
+        if self._leaving is not None:
             return False
         if self._recovery.is_over(now):
             return True
--- a/foxtailworks/requests/tests/test_failures.py
+++ b/foxtailworks/requests/tests/test_failures.py
@@ -103,12 +103,9 @@
     world.ask(KEY, first, is_routed=False)
     world.run(1.0)
     world.broken = set()
-    leaver = world.hosts[second]
-    leaver.coordinator.leave()
-    assert leaver.coordinator.is_idle
-    world.perform(leaver, leaver.coordinator.hand_over(world.now))
-    world.run(0.1)
-    world.kill(second)
+    world.leave(second, 99.0)
+    world.run(5.0)
+    assert not world.hosts[second].is_up
     world.kill(first)
     again = world.ask(KEY, third, is_routed=False)
     world.run(1.0)
@@ -116,6 +113,26 @@
     check(world, 1)
 
 
+def test_a_rolling_restart_costs_no_request():
+    world, _ = make()
+    asked = []
+    for name in list(world.hosts):
+        world.leave(name, 0.5)
+        hold_dead(world, name)
+        for step in range(100):
+            if step == 60:
+                hold_dead(world, None)
+            key = ids.RequestKey(len(asked).to_bytes(16, "big"))
+            others = [host for host in world.hosts if host != name]
+            asked.append(world.ask(key, others[step % len(others)]))
+            world.run(0.1)
+    assert {item.told for item in asked} == {"Answer"}
+    retries = [world.ask(item.key, "h0") for item in asked[-300:]]
+    world.run(1.0)
+    assert {item.told for item in retries} == {"Answer"}
+    assert not any(world.counts_of_violations().values())
+
+
 def test_a_full_store_grants_nothing_new():
     roster = _request_world.make_roster(1, [0, 1, 2])
     groups = requests.KeyGroups(roster, 60.0)
@@ -167,3 +184,32 @@
         assert codec.decode(data) == message
         with pytest.raises(errors.FoxtailError):
             codec.decode(data[:-1])
+
+
+def test_only_the_next_start_counts_on_a_whole_hand_over():
+    roster = _request_world.make_roster(1, [0, 1, 2])
+    groups = requests.KeyGroups(roster, 60.0)
+    recovery = requests.Recovery(0.0, 60.0, True)
+    store = requests.ClaimStore(ids.HostId("h0"), groups, recovery)
+    left = ids.HostId("h1")
+    claim = largest_claim(KEY, 1)
+    handed = requests.HandOver(KEY, claim, None, 9000)
+
+    def is_heir(incarnation):
+        request = requests.PageRequest(0, 1, ids.Incarnation(incarnation))
+        return store.receive(request, 1.0, left).is_heir
+
+    assert not is_heir(8)
+    gone = requests.Left(ids.Incarnation(7), 1)
+    assert store.receive(gone, 1.0, left) is None
+    assert not is_heir(8)
+    store.receive(handed, 1.0, left)
+    assert store.receive(gone, 1.0, left) is not None
+    assert is_heir(8) and is_heir(8)
+    assert store.receive(gone, 1.0, left) is not None
+    assert not is_heir(9)
+    other = requests.ClaimStore(
+        ids.HostId("h2"), groups, requests.Recovery(0.0, 60.0, False)
+    )
+    other.receive(handed, 1.0, left)
+    assert len(other) == 0
