--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -10,6 +10,7 @@
 from foxtailworks.entry import _cores
 from foxtailworks.entry import _fabric
 from foxtailworks.entry import _flows
+from foxtailworks.entry import _gauges
 from foxtailworks.entry import _keepers
 from foxtailworks.entry import _operators
 from foxtailworks.entry import _peers
@@ -83,6 +84,7 @@
             rng,
             clock,
         )
+        self._gauges = _gauges.Gauges(self.cores, self.requests, metrics)
         self._operators = _operators.Operators(
             self.cores, self.requests, metrics, self.perform, clock
         )
@@ -94,7 +96,7 @@
             self.cores.members.me,
             self.cores.contracts,
             rng,
-            self._take_update,
+            self.take_update,
         )
         self._route_messages()
 
@@ -131,7 +133,7 @@
             now = self._clock()
             self.perform(self.cores.distribution.on_message(host, msg, now))
 
-    def _take_update(self, update: contracts.Update) -> None:
+    def take_update(self, update: contracts.Update) -> None:
         """Give a keeper's update to the distribution."""
         now = self._clock()
         self.perform(self.cores.distribution.on_update(update, now))
@@ -360,6 +362,7 @@
         self.perform(cores.placer.on_tick(now))
         self.perform(cores.distribution.on_tick(now))
         self.requests.on_tick(now)
+        self._gauges.on_tick(now)
         if self.is_ready():
             self._fabric.on_tick(now)
 
