--- a/foxtailworks/bench/_membership_world.py
+++ b/foxtailworks/bench/_membership_world.py
@@ -202,7 +202,7 @@
         found = {
             item.address: (item.incarnation, item.service, item.state)
             for item in process.directory.all()
-            if item.is_open
+            if item.is_open and not self._is_rightly_lapsed(process, item)
         }
         wanted = {
             item.announcement.address: (
@@ -220,3 +220,20 @@
             chosen = process.directory.candidates(CUSTOMER, service, now)
             is_in = item.announcement.id in {one.id for one in chosen}
             assert is_in == ready, (process.host.id, item.announcement)
+
+    def _is_rightly_lapsed(
+        self, process: _virtual.Process, item: upstreams.Upstream
+    ) -> bool:
+        """Tell whether no host is left that could say how it fares.
+
+        A zone whose last hosts died at once can't be told from one that is
+        cut off, so that the upstreams they held only lapse.
+        """
+        holder = process.membership.get(item.holder)
+        zones = {
+            other.host.zone
+            for other in self.cluster.processes.values()
+            if not other.leaving
+        }
+        is_lost = holder is not None and holder.zone not in zones
+        return is_lost and item.address in process.directory.lapsed()
--- a/foxtailworks/membership/tests/test_cluster.py
+++ b/foxtailworks/membership/tests/test_cluster.py
@@ -6,6 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from foxtailworks.bench import _membership_walk
 from foxtailworks.bench import _membership_world
 from foxtailworks.bench import _virtual
 
@@ -110,3 +111,7 @@
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 TestCluster = ClusterMachine.TestCase
+
+
+def test_walk_that_loses_a_zone_with_a_holder():
+    _membership_walk.walk(72, 30)
--- a/foxtailworks/upstreams/_config.py
+++ b/foxtailworks/upstreams/_config.py
@@ -55,6 +55,8 @@
     """Share of the weight that each reporter's doubt leaves."""
     orphan_grace_s: float = 5.0
     """Added to the lifetime of an upstream whose holder is lost."""
+    lapse_s: float = 7_200.0
+    """How long an upstream stays lapsed, behind a cut, before it expires."""
     freeze_gap_s: float = 2.0
     """Gap between ticks taken as the process having been stopped."""
     tombstone_s: float = 3_600.0
--- a/foxtailworks/upstreams/_directory.py
+++ b/foxtailworks/upstreams/_directory.py
@@ -96,6 +96,13 @@
         """
         return self._table.by_id(upstream_id)
 
+    def lapsed(self) -> frozenset[ids.Address]:
+        """Return the upstreams in doubt because their holder is cut off.
+
+        They get no new work; each comes back when its holder does.
+        """
+        return frozenset(self._lapsed)
+
     def all(self) -> tuple[_record.Upstream, ...]:
         """Return every record, ended ones included, sorted by address."""
         return tuple(sorted(self._table.all(), key=lambda item: item.address))
@@ -347,8 +354,10 @@
         if old is None or not old.is_open:
             return iter(())
         state = self._leases.holder_state(old.holder)
-        if state is _leases.HolderState.UNREACHED:
+        is_new = address not in self._lapsed
+        if state is _leases.HolderState.UNREACHED and is_new:
             self._lapsed.add(address)
+            self._leases.lapse(old, now)
             self._candidates.invalidate(old.key)
             return iter((self._event(old),))
         new = old.with_changes(expired=True, sequence=old.sequence + 1)
--- a/foxtailworks/upstreams/_leases.py
+++ b/foxtailworks/upstreams/_leases.py
@@ -81,6 +81,10 @@
         """Extend the lifetime of an upstream held here."""
         self._set(upstream.address, now + upstream.lifetime_s)
 
+    def lapse(self, upstream: _record.Upstream, now: float) -> None:
+        """Wait on, for long, while the holder is cut off."""
+        self._set(upstream.address, now + self._cfg.lapse_s)
+
     def _orphan_s(self, lifetime_s: float) -> float:
         """Return how long an upstream lives on without its holder."""
         return lifetime_s + self._cfg.orphan_grace_s
@@ -113,13 +117,17 @@
         held = self._by_holder.get(holder, {})
         if holder == self._me:
             return []
-        if self.holder_state(holder) is HolderState.LIVE:
+        state = self.holder_state(holder)
+        if state is HolderState.LIVE:
             for address in held:
                 self._deadlines.pop(address, None)
             return list(held)
         for address, lifetime_s in held.items():
-            if address not in self._deadlines:
-                self._set(address, now + self._orphan_s(lifetime_s))
+            deadline = now + self._orphan_s(lifetime_s)
+            known = self._deadlines.get(address)
+            # A holder found dead ends the long wait behind a cut.
+            if known is None or state is HolderState.GONE:
+                self._set(address, min(known or deadline, deadline))
         return []
 
     def due(self, now: float) -> abc.Iterable[ids.Address]:
--- a/foxtailworks/upstreams/tests/test_directory.py
+++ b/foxtailworks/upstreams/tests/test_directory.py
@@ -188,6 +188,31 @@
     assert ids_of(directory, 41.0) == [announcement.id]
 
 
+def test_upstream_does_not_stay_lapsed_for_good():
+    holder, directory = make_directory("host-1"), make_directory(lapse_s=60)
+    list(holder.announce(make_announcement(), 0.0))
+    list(directory.on_event(make_host("host-1"), 0.0))
+    list(directory.merge(holder.all()[0], EVERYWHERE, 0.0))
+    zone = ids.ZoneId("zone-1")
+    list(directory.on_event(membership.ZoneChanged(zone, False), 1.0))
+    lapsed, expired = tick(directory, 1, 100)
+    assert (lapsed.is_open, expired.is_open) == (True, False)
+
+
+def test_lapsed_upstream_expires_once_its_holder_is_dead():
+    holder, directory = make_directory("host-1"), make_directory()
+    list(holder.announce(make_announcement(), 0.0))
+    list(directory.on_event(make_host("host-1"), 0.0))
+    list(directory.merge(holder.all()[0], EVERYWHERE, 0.0))
+    zone = ids.ZoneId("zone-1")
+    list(directory.on_event(membership.ZoneChanged(zone, False), 1.0))
+    tick(directory, 1, 40)
+    dead = make_host("host-1", membership.HostState.DEAD)
+    list(directory.on_event(dead, 41.0))
+    (expired,) = tick(directory, 41, 80)
+    assert not expired.is_open
+
+
 def test_frozen_holder_expires_nobody_for_its_own_absence():
     directory = make_directory()
     list(directory.announce(make_announcement(), 0.0))
