--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -34,7 +34,8 @@
 TICK_S = 0.05
 DRAIN_STEP_S = 0.05
 LEAVE_MIN_S = 2.0
-LEAVE_MAX_S = 14.0
+LEAVE_MAX_S = 10.0
+HAND_OVER_MAX_S = 4.0
 
 _EVENTS = observe.Events("entry")
 
@@ -396,4 +397,8 @@
             if spent >= LEAVE_MIN_S and self._is_handed_over():
                 break
         self.requests.hand_over(self._clock())
-        await asyncio.sleep(DRAIN_STEP_S)
+        until = self._clock() + HAND_OVER_MAX_S
+        while self._clock() < until:
+            await asyncio.sleep(DRAIN_STEP_S)
+            if self.requests.is_handed_over(self._clock()):
+                break
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -122,7 +122,9 @@
             groups, self._cores.views, self._peers
         )
         self._recovery = recovery
-        store = requests.ClaimStore(me.id, groups, recovery)
+        store = requests.ClaimStore(
+            me.id, groups, recovery, incarnation=self._incarnation
+        )
         self._groups = groups
         self._coordinator = requests.Coordinator(
             me.id, self._incarnation, groups, store, self._choice, self._rng
@@ -269,6 +271,12 @@
         if self._coordinator is not None and self._keyed is not None:
             self._keyed.perform(self._coordinator.hand_over(now))
 
+    def is_handed_over(self, now: float) -> bool:
+        """Tell whether the others have this host's claims."""
+        return self._coordinator is None or self._coordinator.is_handed_over(
+            now
+        )
+
 
 def _make_call(
     route: _services.Route,
