--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -16,6 +16,7 @@
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _registrations
 from foxtailworks.entry import _requests
+from foxtailworks.entry import _rosters
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
@@ -33,7 +34,8 @@
 TICK_S = 0.05
 DRAIN_STEP_S = 0.05
 LEAVE_MIN_S = 2.0
-LEAVE_MAX_S = 14.0
+LEAVE_MAX_S = 10.0
+HAND_OVER_MAX_S = 4.0
 
 _EVENTS = observe.Events("entry")
 
@@ -111,6 +113,9 @@
             functools.partial(self._feed, self.cores.directory.on_message),
         )
         self._peers.on(contracts.SPREAD_MESSAGES.values(), self._take_spread)
+        self._peers.on(
+            _rosters.MESSAGES.values(), self.requests.on_roster_epoch
+        )
         self._peers.on(placement.MESSAGES.values(), self._take_placement)
         self._peers.on(requests.MESSAGES.values(), self.requests.on_message)
         self._peers.on(limits.MESSAGES.values(), self.requests.gate.on_message)
@@ -265,6 +270,10 @@
                 for item in self.services.all()
             }
         )
+        retentions = (
+            item.service.key_retention_s for item in self.services.all()
+        )
+        self.requests.set_retention(float(max(retentions, default=0)))
         if update.roster is not None:
             self.requests.set_roster(update.roster, now)
             self.cores.placer.set_homes(
@@ -388,4 +397,8 @@
             if spent >= LEAVE_MIN_S and self._is_handed_over():
                 break
         self.requests.hand_over(self._clock())
-        await asyncio.sleep(DRAIN_STEP_S)
+        until = self._clock() + HAND_OVER_MAX_S
+        while self._clock() < until:
+            await asyncio.sleep(DRAIN_STEP_S)
+            if self.requests.is_handed_over(self._clock()):
+                break
