Restart an entry host while all keepers are lost, as real processes

The scenarios now insist on NOT_LEADER or NO_QUORUM where an edit must not be taken.

Failed try: the scenario first awaited "in force" before the hosts had joined the roster, where it holds for nobody; it waits for the roster.

Collecting joins of the roster moved into a module of its own.

--- a/foxtailworks/bench/_agreement.py
+++ b/foxtailworks/bench/_agreement.py
@@ -135,7 +135,7 @@
     """Measure from an edit to all hosts' reports that it is in force."""
     for place in range(ENTRY_HOSTS):
         await fleet.start_entry(place)
-    await _await_roster(fleet)
+    await fleet.await_hosts(ENTRY_HOSTS)
     times = []
     for _ in range(ENTRY_EDITS):
         start = time.perf_counter()
@@ -151,17 +151,6 @@
     )
 
 
-async def _await_roster(fleet: _keeper_fleet.KeeperFleet) -> None:
-    """Wait until all entry hosts are in the roster and report."""
-    until = time.monotonic() + _keeper_fleet.READY_S
-    while time.monotonic() < until:
-        hosts = (await fleet.ask(contracts.GetStatus)).hosts
-        if sum(item.reachable for item in hosts) == ENTRY_HOSTS:
-            return
-        await asyncio.sleep(_keeper_fleet.PAUSE_S)
-    raise errors.FoxtailError(errors.Code.INTERNAL, "hosts didn't join")
-
-
 def _log_bytes(folder: pathlib.Path) -> abc.Iterator[_figure.Figure]:
     """Measure the disk after many edits; all edits kept is the baseline."""
     name = ids.KeeperId("keeper")
--- a/foxtailworks/bench/_keeper_faults.py
+++ b/foxtailworks/bench/_keeper_faults.py
@@ -17,7 +17,7 @@
 from foxtailworks import ids
 
 PAST_LEASE_S = 3.0
-LONG_CUT_S = 6.0
+IN_FORCE_S = 10.0
 
 
 class Ledger:
@@ -68,6 +68,12 @@
         raise errors.FoxtailError(errors.Code.INTERNAL, "a promise is broken")
 
 
+def check_not_taken(answer: object) -> None:
+    """Raise unless a keeper without a majority refused an edit."""
+    codes = (errors.Code.NOT_LEADER, errors.Code.NO_QUORUM)
+    check(isinstance(answer, contracts.Refused) and answer.code in codes)
+
+
 async def leader_killed(ledger: Ledger) -> None:
     """The leader is killed between edits, three times."""
     for _ in range(3):
@@ -94,7 +100,7 @@
         0,
         document("late", 40_000),
     )
-    check(isinstance(late, contracts.Refused))
+    check_not_taken(late)
     await ledger.edit(3)
 
 
@@ -114,7 +120,7 @@
         0,
         document("alone", 39_000),
     )
-    check(isinstance(alone, contracts.Refused))
+    check_not_taken(alone)
     for place in others:
         ledger.fleet.signal(place, signal.SIGCONT)
     await ledger.edit(2)
@@ -176,6 +182,30 @@
         base = answers[0].version
 
 
+async def keepers_all_lost(ledger: Ledger) -> None:
+    """A host restarts while no keeper runs; neighbours bring it up."""
+    fleet = ledger.fleet
+    for place in range(3):
+        await fleet.start_entry(place)
+    await fleet.await_hosts(3)
+    await ledger.edit(5)
+    version = max(item.version for item in ledger.answers.values())
+    await fleet.ask(contracts.AwaitInForce, version, IN_FORCE_S)
+    check(await fleet.in_force(2) >= version)
+    for place in range(3):
+        await fleet.kill(place)
+    await fleet.kill_entry(2)
+    await fleet.start_entry(2)
+    until = time.monotonic() + IN_FORCE_S
+    seen = set()
+    while version not in seen and time.monotonic() < until:
+        seen.add(await fleet.in_force(2))
+        await asyncio.sleep(_keeper_fleet.PAUSE_S)
+    check(version in seen and seen <= {ids.ZERO_VERSION, *range(version, 99)})
+    for place in range(3):
+        await fleet.start_keeper(place)
+
+
 SCENARIOS: tuple[abc.Callable[[Ledger], abc.Awaitable[None]], ...] = (
     leader_killed,
     leader_frozen,
@@ -183,6 +213,7 @@
     disk_replaced,
     keeper_added_and_removed,
     races,
+    keepers_all_lost,
 )
 
 
--- a/foxtailworks/bench/_keeper_fleet.py
+++ b/foxtailworks/bench/_keeper_fleet.py
@@ -16,9 +16,11 @@
 from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks import links
+from foxtailworks import observe
 from foxtailworks import wire
 
 CODEC = wire.Codec(contracts.OPERATOR_MESSAGES)
+HOST_CODEC = wire.Codec(observe.HOST_MESSAGES)
 ASK_TIMEOUT_S = 2.0
 PAUSE_S = 0.02
 READY_S = 20.0
@@ -88,6 +90,32 @@
         await process.wait()
         self._links.pop(self.address(place), None)
 
+    async def kill_entry(self, place: int) -> None:
+        """End an entry host at once."""
+        process = self._running.pop(f"entry-{place}")
+        process.kill()
+        await process.wait()
+
+    async def await_hosts(self, count: int) -> None:
+        """Wait until so many entry hosts are in the roster and report."""
+        until = time.monotonic() + READY_S
+        while time.monotonic() < until:
+            hosts = (await self.ask(contracts.GetStatus)).hosts
+            if sum(item.reachable for item in hosts) == count:
+                return
+            await asyncio.sleep(PAUSE_S)
+        raise errors.FoxtailError(errors.Code.INTERNAL, "hosts didn't join")
+
+    async def in_force(self, place: int) -> ids.Version:
+        """Ask an entry host what it has in force."""
+        at = ids.Address(f"127.{self._net}.0.{place + 1}", 7200)
+        async with links.dial(at, HOST_CODEC) as link:
+            answer = await link.request(
+                observe.StatusRequest(1), ASK_TIMEOUT_S
+            )
+        found: ids.Version = answer.in_force
+        return found
+
     def wipe(self, place: int) -> None:
         """Lose the disk of a keeper that isn't running."""
         shutil.rmtree(self._folder / f"data-{place}")
--- a/foxtailworks/keeper/_program.py
+++ b/foxtailworks/keeper/_program.py
@@ -13,6 +13,7 @@
 from foxtailworks import ids
 from foxtailworks import journal
 from foxtailworks.keeper import _entries
+from foxtailworks.keeper import _joins
 from foxtailworks.keeper import _messages
 from foxtailworks.keeper import _node
 from foxtailworks.keeper import _operators
@@ -22,8 +23,6 @@
 from foxtailworks import settings
 
 TICK_S = 0.02
-# Joins within this time become one change of the roster.
-COLLECT_JOINS_S = 1.0
 LEAVE_S = 0.2
 # An edit or a read that waits longer for a majority is given up.
 DECIDE_S = 5.0
@@ -66,8 +65,7 @@
         self._decisions: dict[int, asyncio.Future[contracts.Outcome | None]]
         self._decisions = {}
         self._reads: dict[int, asyncio.Future[bool]] = {}
-        self._joins: dict[ids.HostId, contracts.RosterHost] = {}
-        self._joins_at = 0.0
+        self._joins = _joins.Joins()
         self._fed = ids.ZERO_VERSION
         self.failed: errors.FoxtailError | None = None
 
@@ -281,11 +279,8 @@
 
     def _collect(self, host: contracts.RosterHost) -> None:
         """Collect a host until the joins of a while become one change."""
-        known = self.node.catalogue.view.roster.find(host.host)
-        if known is None or not known.same_place(host):
-            if not self._joins:
-                self._joins_at = self._clock() + COLLECT_JOINS_S
-            self._joins[host.host] = host
+        roster = self.node.catalogue.view.roster
+        self._joins.collect(host, roster, self._clock())
 
     # Time.
 
@@ -378,24 +373,15 @@
 
     def _change_roster(self, now: float) -> None:
         """Propose collected joins, or pass them to the leader."""
-        if not self._joins or now < self._joins_at:
-            return
-        roster = self.node.catalogue.view.roster
-        for host in list(self._joins):
-            known = roster.find(host)
-            if known is not None and known.same_place(self._joins[host]):
-                del self._joins[host]
-        if not self._joins:
+        edit = self._joins.due(self.node.catalogue.view.roster, now)
+        if edit is None:
             return
-        self._joins_at = now + COLLECT_JOINS_S
-        joined = tuple(self._joins.values())
         replica = self.node.replica
         if replica.role is agreement.Role.LEADER:
             with contextlib.suppress(errors.FoxtailError):
-                self.node.propose(contracts.RosterEdit(joined=joined), now)
-                self.pump()
+                self.node.propose(edit, now)
+            self.pump()
         elif replica.leader is not None:
             address = self.address_of(replica.leader)
             if address is not None:
-                edit = contracts.RosterEdit(joined=joined)
                 self.peers.send(address, edit)
