--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -10,11 +10,13 @@
 from foxtailworks.entry import _cores
 from foxtailworks.entry import _fabric
 from foxtailworks.entry import _flows
+from foxtailworks.entry import _gauges
 from foxtailworks.entry import _keepers
 from foxtailworks.entry import _operators
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _registrations
 from foxtailworks.entry import _requests
+from foxtailworks.entry import _rosters
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
@@ -32,7 +34,8 @@
 TICK_S = 0.05
 DRAIN_STEP_S = 0.05
 LEAVE_MIN_S = 2.0
-LEAVE_MAX_S = 14.0
+LEAVE_MAX_S = 10.0
+HAND_OVER_MAX_S = 4.0
 
 _EVENTS = observe.Events("entry")
 
@@ -83,6 +86,7 @@
             rng,
             clock,
         )
+        self._gauges = _gauges.Gauges(self.cores, self.requests, metrics)
         self._operators = _operators.Operators(
             self.cores, self.requests, metrics, self.perform, clock
         )
@@ -94,7 +98,7 @@
             self.cores.members.me,
             self.cores.contracts,
             rng,
-            self._take_update,
+            self.take_update,
         )
         self._route_messages()
 
@@ -109,6 +113,9 @@
             functools.partial(self._feed, self.cores.directory.on_message),
         )
         self._peers.on(contracts.SPREAD_MESSAGES.values(), self._take_spread)
+        self._peers.on(
+            _rosters.MESSAGES.values(), self.requests.on_roster_epoch
+        )
         self._peers.on(placement.MESSAGES.values(), self._take_placement)
         self._peers.on(requests.MESSAGES.values(), self.requests.on_message)
         self._peers.on(limits.MESSAGES.values(), self.requests.gate.on_message)
@@ -131,7 +138,7 @@
             now = self._clock()
             self.perform(self.cores.distribution.on_message(host, msg, now))
 
-    def _take_update(self, update: contracts.Update) -> None:
+    def take_update(self, update: contracts.Update) -> None:
         """Give a keeper's update to the distribution."""
         now = self._clock()
         self.perform(self.cores.distribution.on_update(update, now))
@@ -263,6 +270,10 @@
                 for item in self.services.all()
             }
         )
+        retentions = (
+            item.service.key_retention_s for item in self.services.all()
+        )
+        self.requests.set_retention(float(max(retentions, default=0)))
         if update.roster is not None:
             self.requests.set_roster(update.roster, now)
             self.cores.placer.set_homes(
@@ -360,6 +371,7 @@
         self.perform(cores.placer.on_tick(now))
         self.perform(cores.distribution.on_tick(now))
         self.requests.on_tick(now)
+        self._gauges.on_tick(now)
         if self.is_ready():
             self._fabric.on_tick(now)
 
@@ -385,4 +397,8 @@
             if spent >= LEAVE_MIN_S and self._is_handed_over():
                 break
         self.requests.hand_over(self._clock())
-        await asyncio.sleep(DRAIN_STEP_S)
+        until = self._clock() + HAND_OVER_MAX_S
+        while self._clock() < until:
+            await asyncio.sleep(DRAIN_STEP_S)
+            if self.requests.is_handed_over(self._clock()):
+                break
--- a/foxtailworks/keeper/_joins.py
+++ b/foxtailworks/keeper/_joins.py
@@ -3,8 +3,13 @@
 from foxtailworks import contracts
 from foxtailworks import ids
 
-COLLECT_S = 1.0
-"""Joins within this time become one change of the roster."""
+QUIET_S = 2.0
+"""Joins become one change once none has come for so long: each change
+makes claims need the groups of one roster more."""
+MAX_WAIT_S = 10.0
+"""The change is made after so long, quiet or not."""
+PASS_S = 0.2
+"""A keeper that doesn't lead passes joins on so often."""
 MAX_JOINS = 4096
 """Hosts that wait; more are dropped and ask again."""
 
@@ -15,6 +20,8 @@
     def __init__(self) -> None:
         self._waiting: dict[ids.HostId, contracts.RosterHost] = {}
         self._due_at = 0.0
+        self._latest_at = 0.0
+        self._pass_at = 0.0
 
     def collect(
         self,
@@ -26,16 +33,20 @@
         if _known(host, roster) or len(self._waiting) >= MAX_JOINS:
             return
         if not self._waiting:
-            self._due_at = now + COLLECT_S
+            self._latest_at = now + MAX_WAIT_S
+        if self._waiting.get(host.host) != host:
+            self._due_at = min(now + QUIET_S, self._latest_at)
         self._waiting[host.host] = host
 
     def due(
-        self, roster: contracts.Roster, now: float
+        self, roster: contracts.Roster, leads: bool, now: float
     ) -> contracts.RosterEdit | None:
-        """Return the change that is due; again until the roster has it."""
-        if not self._waiting or now < self._due_at:
+        """Return the change that is due; again until the roster has it.
+
+        :param leads: false when the change is only passed to the leader
+        """
+        if now < (self._due_at if leads else self._pass_at):
             return None
-        self._due_at = now + COLLECT_S
         self._waiting = {
             name: host
             for name, host in self._waiting.items()
@@ -43,6 +54,8 @@
         }
         if not self._waiting:
             return None
+        self._due_at = now + QUIET_S
+        self._pass_at = now + PASS_S
         return contracts.RosterEdit(joined=tuple(self._waiting.values()))
 
 
--- a/foxtailworks/keeper/_program.py
+++ b/foxtailworks/keeper/_program.py
@@ -373,11 +373,12 @@
 
     def _change_roster(self, now: float) -> None:
         """Propose collected joins, or pass them to the leader."""
-        edit = self._joins.due(self.node.catalogue.view.roster, now)
+        replica = self.node.replica
+        leads = replica.role is agreement.Role.LEADER
+        edit = self._joins.due(self.node.catalogue.view.roster, leads, now)
         if edit is None:
             return
-        replica = self.node.replica
-        if replica.role is agreement.Role.LEADER:
+        if leads:
             with contextlib.suppress(errors.FoxtailError):
                 self.node.propose(edit, now)
             self.pump()
