Look only at services with traffic in each tick

Cause: each tick went through the admissions and the four accounts of all services, 360 at the target size: 4.7 ms a tick, 94 ms a second, against 32 ms for all control. Ruled out after the first change (busy admissions only): it left 63 ms a second, all of it in the accounts. Change: idle admissions leave the round 3 s after their last request; idle accounts are passed over; accounts are looked at four times a second.

--- a/foxtailworks/entry/_admission.py
+++ b/foxtailworks/entry/_admission.py
@@ -12,6 +12,11 @@
 from foxtailworks import limits
 from foxtailworks import observe
 
+# A service without traffic is looked at no more after this time: by then
+# its measured demand has faded.
+QUIET_S = 3.0
+SHARES_EVERY_S = 0.25
+
 
 class Gate:
     """One admission for each service; shares are moved between hosts.
@@ -40,6 +45,8 @@
         self._admitted = admitted
         self._rejected = rejected
         self._admissions: dict[ids.ServiceId, limits.Admission] = {}
+        self._busy: dict[ids.ServiceId, float] = {}
+        self._shares_at = 0.0
 
     def set_limits(
         self, routes: abc.Iterable[_services.Route], divisor: int
@@ -82,6 +89,7 @@
             handle=call,
             arrived_at=call.began,
         )
+        self._busy[call.route.key] = call.began
         self._carry_out(admission.offer(self._clock(), ticket))
 
     def done(self, call: _replies.Call, is_good: bool) -> None:
@@ -95,10 +103,19 @@
 
     def on_tick(self, now: float) -> None:
         """Let time pass."""
-        for admission in self._admissions.values():
+        for key, active_at in list(self._busy.items()):
+            admission = self._admissions.get(key)
+            if admission is None:
+                del self._busy[key]
+                continue
             self._carry_out(admission.tick(now))
-        for item in self._shares.tick(now):
-            self._send(item)
+            is_empty = not admission.queued and not admission.in_flight
+            if is_empty and now - active_at > QUIET_S:
+                del self._busy[key]
+        if now >= self._shares_at:
+            self._shares_at = now + SHARES_EVERY_S
+            for item in self._shares.tick(now):
+                self._send(item)
 
     def on_message(self, src: ids.Address, msg: limits.Message) -> None:
         """Take a message of another host about leases."""
--- a/foxtailworks/limits/_shares.py
+++ b/foxtailworks/limits/_shares.py
@@ -21,6 +21,8 @@
 WANT_MARGIN = 1.3
 MIN_MOVE = 0.02
 ROUNDING = 1e-6
+# Measured demand fades and never reaches zero.
+IDLE_DEMAND = 1e-3
 
 
 class Resource(enum.Enum):
@@ -76,6 +78,11 @@
         """Return the base without what was given away."""
         return max(0.0, self.base - self.lent())
 
+    def is_idle(self) -> bool:
+        """Return whether nothing is wanted, lent, borrowed or asked."""
+        moved = self.given or self.taken or self.asked
+        return not moved and self.demand < IDLE_DEMAND
+
     def lent(self) -> float:
         """Return what others may use of the base."""
         return sum(item.amount for item in self.given.values())
@@ -151,6 +158,8 @@
         """Reclaim and drop ended leases; ask for what is short."""
         out: list[Send] = []
         for limit, account in self._accounts.items():
+            if account.is_idle():
+                continue
             _drop_ended(now, account)
             if now >= account.ask_at:
                 account.ask_at = now + ASK_EVERY_S
