Divide limits by the hosts of all rosters that count

Cause: a host divided a limit by the newest roster alone, so while a roster grows hosts with the old and the new one together hand out more than the limit. Change: the divisor is the number of hosts of all rosters, and 0 for one that isn't in each.

--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -282,11 +282,7 @@
                     for item in update.roster.hosts
                 )
             )
-        roster = view.roster
-        is_member = roster.find(self._cfg.host) is not None
-        self.requests.gate.set_limits(
-            self.services.all(), len(roster.hosts) if is_member else 0
-        )
+        self.requests.update_limits()
         self._operators.on_version(now)
         _EVENTS.info(
             "version_in_force",
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -44,6 +44,7 @@
         clock: abc.Callable[[], float],
     ) -> None:
         self._cores = cores
+        self._services = services
         self._peers = peers
         self._fabric = fabric
         self._metrics = metrics
@@ -156,6 +157,12 @@
         if self._rosters is not None:
             self._rosters.on_message(src, msg, self._clock())
 
+    def update_limits(self) -> None:
+        """Derive this host's shares anew from contracts and rosters."""
+        me = self._cores.members.me.id
+        divisor = self._groups.share_divisor(me) if self._groups else 0
+        self.gate.set_limits(self._services.all(), divisor)
+
     def set_alive(self) -> None:
         """Take in which hosts are held to be live."""
         live = self._cores.members.live()
@@ -240,7 +247,8 @@
         self._idempotent.on_tick(now)
         if self._keyed is not None and self._rosters is not None:
             self._keyed.on_tick(now)
-            self._rosters.on_tick(now, self._others())
+            if self._rosters.on_tick(now, self._others()):
+                self.update_limits()
 
     def _others(self) -> tuple[ids.HostId, ...]:
         """Return the other live hosts."""
--- a/foxtailworks/entry/_rosters.py
+++ b/foxtailworks/entry/_rosters.py
@@ -42,6 +42,7 @@
         self._peers = peers
         self._newest = groups.roster
         self._ask_at = 0.0
+        self._state = (-1, False)
 
     def change(self, roster: requests.Roster, now: float) -> None:
         """Take in a roster; the hosts that it lacks are off."""
@@ -68,12 +69,23 @@
         if msg.asks:
             self._peers.send(src, RosterEpoch(self._groups.epoch, False))
 
-    def on_tick(self, now: float, hosts: abc.Iterable[ids.HostId]) -> None:
-        """Ask the live hosts while an older roster counts."""
+    def on_tick(self, now: float, hosts: abc.Iterable[ids.HostId]) -> bool:
+        """Ask the live hosts while an older roster counts.
+
+        :returns: whether rosters have come or gone since the last time
+        """
         if now < self._ask_at:
-            return
+            return False
         self._ask_at = now + ASK_EVERY_S
         self._adopt(now)
+        self._ask(hosts)
+        state = (self._groups.epoch, self._groups.is_joint)
+        changed = state != self._state
+        self._state = state
+        return changed
+
+    def _ask(self, hosts: abc.Iterable[ids.HostId]) -> None:
+        """Ask which roster the live hosts go by, while it matters."""
         if not self._groups.is_joint:
             return
         for host in hosts:
--- a/foxtailworks/requests/_groups.py
+++ b/foxtailworks/requests/_groups.py
@@ -191,6 +191,20 @@
             )
         )
 
+    def share_divisor(self, host: ids.HostId) -> int:
+        """Return by how many hosts a limit is divided at ``host``.
+
+        While rosters overlap it is all hosts of any, and a host that isn't
+        in each has no share of its own (0): so shares sum up to the limit
+        at most, whichever roster each host goes by.
+        """
+        is_in_all = all(
+            any(name == host for name, _ in item.roster.hosts)
+            for item in self._active
+        )
+        names = {name for name, _ in self._all_hosts()}
+        return len(names) if is_in_all else 0
+
     def check(self) -> None:
         """Assert that rosters stand in order of their epochs."""
         epochs = [item.roster.epoch for item in self._active]
