--- /dev/null
+++ b/features/steps/request_steps.py
@@ -0,0 +1,62 @@
+"""Steps about keyed requests over several hosts in virtual time."""
+
+import behave
+
+from foxtailworks.bench import _request_world
+from foxtailworks import ids
+
+SETTLE_S = 20.0
+
+
+def _key(number):
+    """Return a key."""
+    return ids.RequestKey(bytes([number]) * 16)
+
+
+def _host(number):
+    """Return the name of a host."""
+    return ids.HostId(f"h{number}")
+
+
+@behave.given("{hosts:d} entry hosts in {zones:d} availability zones")
+def given_world(context, hosts, zones):
+    places = [number % zones for number in range(hosts)]
+    roster = _request_world.make_roster(1, places)
+    context.world = _request_world.World(1, roster)
+
+
+@behave.when(
+    "key {number:d} is asked for at host {one:d} and again at host {two:d}"
+)
+def when_asked_twice(context, number, one, two):
+    context.world.ask(_key(number), _host(one), 2.0)
+    context.world.ask(_key(number), _host(two), 2.0)
+    context.world.run(SETTLE_S)
+
+
+@behave.when(
+    "key {number:d} is asked for at every host while the first one dies"
+)
+def when_first_dies(context, number):
+    world = context.world
+    world.strike = _request_world.Strike.KILL_AFTER
+    for host in list(world.hosts):
+        world.ask(_key(number), host, 2.0)
+        world.run(0.01)
+    world.run(SETTLE_S)
+
+
+@behave.then("key {number:d} has run once")
+def then_once(context, number):
+    assert len(context.world.runs[_key(number)]) == 1
+
+
+@behave.then("key {number:d} has run at most once")
+def then_at_most_once(context, number):
+    assert len(context.world.runs.get(_key(number), [])) <= 1
+    assert context.world.counts_of_violations()["run_twice"] == 0
+
+
+@behave.then("nobody was told falsely that it did not run")
+def then_truthful(context):
+    assert context.world.counts_of_violations()["false_not_run"] == 0
