Learn older rosters before a restarted host decides over keys

Cause: a restarted host got only the newest roster from the keepers, while others still asked the groups of an older one for each claim; the core takes older rosters and the program gave it none, so a claim granted by an old group alone could be granted again. Seen by reading the core's new parameter; not yet shown by a run on processes. Change: it asks the other hosts of the roster first, for 3 s at most, and says nothing to the fabric until then.

--- a/foxtailworks/entry/_keepers.py
+++ b/foxtailworks/entry/_keepers.py
@@ -90,7 +90,7 @@
             return
         before = self._view.version
         self._take_update(msg)
-        if self._view.version > before:
+        if self._view.version >= msg.version:
             await link.send(contracts.InForce(self._me.id, self._view.version))
         elif msg.since > before:
             await self._subscribe(link)
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -94,6 +94,7 @@
         self._groups: requests.KeyGroups | None = None
         self._recovery: requests.Recovery | None = None
         self._rosters: _rosters.Rosters | None = None
+        self._starting: _rosters.RosterStart | None = None
         self._coordinator: requests.Coordinator | None = None
         self._keyed: _keyed.KeyedPath | None = None
 
@@ -110,14 +111,35 @@
         mine = roster.find(self._cores.members.me.id)
         if self._rosters is not None:
             self._rosters.change(current, now)
+        elif mine is not None and mine.incarnation == self._incarnation:
+            self._start(current, (), True)
         elif mine is not None:
-            self._start(current, mine.incarnation == self._incarnation)
+            me = self._cores.members.me.id
+            self._starting = _rosters.RosterStart(
+                me, current, self._peers, self._cores.views, now
+            )
+
+    def _start_if_told(self, now: float) -> None:
+        """Start once the older rosters that still count are known."""
+        starting = self._starting
+        if starting is None:
+            return
+        starting.on_tick(now)
+        if starting.is_done(now):
+            self._starting = None
+            self._start(starting.roster, starting.older(), False)
+            self.update_limits()
 
-    def _start(self, roster: requests.Roster, fresh: bool) -> None:
+    def _start(
+        self,
+        roster: requests.Roster,
+        older: tuple[requests.Roster, ...],
+        fresh: bool,
+    ) -> None:
         """Make the coordinator and this host's memory of claims."""
         me = self._cores.members.me
         retention_s = self._retention_s
-        groups = requests.KeyGroups(roster, retention_s)
+        groups = requests.KeyGroups(roster, retention_s, older)
         recovery = requests.Recovery(self._started_at, retention_s, fresh)
         self._rosters = _rosters.Rosters(
             groups, self._cores.views, self._peers
@@ -156,6 +178,8 @@
         """Note which roster another host goes by."""
         if self._rosters is not None:
             self._rosters.on_message(src, msg, self._clock())
+        elif self._starting is not None:
+            self._starting.on_message(src, msg)
 
     def update_limits(self) -> None:
         """Derive this host's shares anew from contracts and rosters."""
@@ -242,6 +266,7 @@
 
     def on_tick(self, now: float) -> None:
         """Let time pass."""
+        self._start_if_told(now)
         self.exchanges.on_tick(now)
         self.gate.on_tick(now)
         self._idempotent.on_tick(now)
