Use an upstream of a lost zone once it is heard; same walk everywhere

Now the first announcement heard since the cut is spread, and the upstream is used again. Faults put into a copy (not noted as heard, not spread): test_upstream_of_a_cut_zone_is_used_once_it_is_heard fails.

Buckets were sets of strings, so that a walk depended on the process's hash seed.

--- a/foxtailworks/membership/_hosts.py
+++ b/foxtailworks/membership/_hosts.py
@@ -21,7 +21,7 @@
         self._hosts: dict[ids.HostId, _host.Host] = {}
         self._items: dict[ids.HostId, bytes] = {}
         self._ended_at: dict[ids.HostId, float] = {}
-        self._buckets: dict[int, set[ids.HostId]] = {}
+        self._buckets: dict[int, dict[ids.HostId, None]] = {}
         self._by_zone: dict[ids.ZoneId, dict[ids.HostId, _host.Host]] = {}
         self._queue = _replica.Queue()
         self.rumours = self._queue.rumours
@@ -100,7 +100,7 @@
         item = _messages.CODEC.encode(new)
         self._items[new.id] = item
         bucket = self.hashes.bucket_of(new.id)
-        self._buckets.setdefault(bucket, set()).add(new.id)
+        self._buckets.setdefault(bucket, {})[new.id] = None
         self._hash(new)
         if new.is_live:
             self._ended_at.pop(new.id, None)
@@ -139,7 +139,7 @@
         host = self._hosts.pop(host_id)
         del self._items[host_id]
         del self._ended_at[host_id]
-        self._buckets[self.hashes.bucket_of(host_id)].discard(host_id)
+        del self._buckets[self.hashes.bucket_of(host_id)][host_id]
         del self._by_zone[host.zone][host_id]
         if not self._by_zone[host.zone]:
             del self._by_zone[host.zone]
--- a/foxtailworks/upstreams/_directory.py
+++ b/foxtailworks/upstreams/_directory.py
@@ -53,6 +53,8 @@
         )
         self._lapsed: set[ids.Address] = set()
         self._cut: set[ids.ZoneId] = set()
+        # Heard of on this side since their zone was cut off.
+        self._reached: set[ids.Address] = set()
         self.rumours = self._table.rumours
         self.hashes = self._table.hashes
 
@@ -74,9 +76,13 @@
             for item in self._table.of_service(key)
             if item.takes_work and item.address not in self._lapsed
         ]
-        near = [item for item in usable if item.zone not in self._cut]
+        near = [item for item in usable if not self._is_behind_cut(item)]
         return self._candidates.compute(key, near or usable, now)
 
+    def _is_behind_cut(self, item: _record.Upstream) -> bool:
+        """Tell whether an upstream's zone is cut off and it is unheard."""
+        return item.zone in self._cut and item.address not in self._reached
+
     def upstreams(
         self, customer: ids.CustomerId, service: ids.ServiceId
     ) -> tuple[_record.Upstream, ...]:
@@ -180,7 +186,8 @@
             return iter((_announcing.refuse(announcement, old),))
         self._hint(old, announcement.load, now)
         new = _announcing.next_record(announcement, old)
-        if new == old and old.address not in self._lapsed:
+        is_doubted = old.address in self._lapsed or self._is_behind_cut(old)
+        if new == old and not is_doubted:
             return self._renew(old, announcement.load, now)
         return self._change(
             new.with_changes(sequence=old.sequence + 1, holder=self._me), now
@@ -312,6 +319,8 @@
             if old.id != stands.id and old.is_open:
                 ended = old.with_changes(state=_State.ENDED)
                 events.append(self._event(ended))
+        if stands.zone in self._cut:
+            self._reached.add(stands.address)
         if stands.is_open:
             self._leases.start(stands, now)
             if self._candidates.health(stands.id) is None:
@@ -368,6 +377,12 @@
         if isinstance(event, membership.ZoneChanged):
             change = self._cut.discard if event.reachable else self._cut.add
             change(event.zone)
+            self._reached = {
+                address
+                for address in self._reached
+                if (item := self._table.get(address)) is not None
+                and item.zone in self._cut - {event.zone}
+            }
             self._candidates.invalidate_all()
         events: list[object] = []
         for address in self._leases.on_event(event, now):
--- a/foxtailworks/upstreams/_table.py
+++ b/foxtailworks/upstreams/_table.py
@@ -21,7 +21,7 @@
         self._by_service: dict[
             _record.ServiceKey, dict[ids.Address, _record.Upstream]
         ] = {}
-        self._buckets: dict[int, set[ids.Address]] = {}
+        self._buckets: dict[int, dict[ids.Address, None]] = {}
         self._ended_at: dict[ids.Address, float] = {}
         self.queue = membership.Queue()
         self.rumours = self.queue.rumours
@@ -108,9 +108,8 @@
         item = _messages.CODEC.encode(new)
         self._records[address] = new
         self._items[address] = item
-        self._buckets.setdefault(self.hashes.bucket_of(name), set()).add(
-            address
-        )
+        bucket = self.hashes.bucket_of(name)
+        self._buckets.setdefault(bucket, {})[address] = None
         self.hashes.set(name, item if new.is_open else None)
         self.changed_at = now
         if new.is_open:
@@ -143,7 +142,7 @@
         del self._items[address]
         del self._ended_at[address]
         bucket = self.hashes.bucket_of(str(address))
-        self._buckets[bucket].discard(address)
+        del self._buckets[bucket][address]
 
     def forget_old(self, now: float) -> None:
         """Forget records that ended long ago."""
--- a/foxtailworks/upstreams/tests/test_directory.py
+++ b/foxtailworks/upstreams/tests/test_directory.py
@@ -188,6 +188,24 @@
     assert ids_of(directory, 41.0) == [announcement.id]
 
 
+def test_upstream_of_a_cut_zone_is_used_once_it_is_heard():
+    directory = make_directory()
+    zone = ids.ZoneId("zone-1")
+    near = make_announcement(address=ids.Address("10.1.0.2", 5683))
+    far = make_announcement(zone=zone)
+    list(directory.announce(near, 0.0))
+    list(directory.announce(far, 0.0))
+    list(directory.on_event(membership.ZoneChanged(zone, False), 1.0))
+    assert ids_of(directory, 1.0) == [near.id]
+    (before,) = (item for item in directory.all() if item.zone == zone)
+    list(directory.announce(far, 2.0))
+    assert set(ids_of(directory, 2.0)) == {near.id, far.id}
+    (after,) = (item for item in directory.all() if item.zone == zone)
+    assert after.sequence == before.sequence + 1
+    list(directory.announce(far, 3.0))
+    assert directory.all()[0].sequence == after.sequence
+
+
 def test_upstream_does_not_stay_lapsed_for_good():
     holder, directory = make_directory("host-1"), make_directory(lapse_s=60)
     list(holder.announce(make_announcement(), 0.0))
