--- a/foxtailworks/placement/_exchange.py
+++ b/foxtailworks/placement/_exchange.py
@@ -139,9 +139,16 @@
         if target is None:
             return
         mark = _hashing.fingerprint(key)
-        is_exception = self._table.is_exception(key, upstream, route)
-        if is_exception or self._tells_of(target, mark):
-            self._out(target).add(mark, upstream.view.upstream)
+        out = self._out(target)
+        views = {self._book.view_hash}
+        # The other host still goes by the set that it was told last.
+        if out.goal is not None and self._book.knows_view(out.goal.upstreams):
+            views.add(out.goal.upstreams)
+        if out.tells_of(mark) or any(
+            self._table.is_exception(key, upstream, route, view)
+            for view in views
+        ):
+            out.add(mark, upstream.view.upstream)
 
     def _tells_of(self, host: ids.HostId, mark: int) -> bool:
         """Return whether ``host`` is told of a flow, maybe wrongly now."""
--- a/foxtailworks/placement/_flows.py
+++ b/foxtailworks/placement/_flows.py
@@ -60,11 +60,21 @@
         )
 
     def is_exception(
-        self, key: int, upstream: _upstreams.Upstream, route: _hosts.Route
+        self,
+        key: int,
+        upstream: _upstreams.Upstream,
+        route: _hosts.Route,
+        view_hash: int | None = None,
     ) -> bool:
-        """Return whether a flow stands elsewhere than the table says."""
+        """Return whether a flow stands elsewhere than the table says.
+
+        :param view_hash: the set of upstreams that the table is made of,
+            by default the present one
+        """
         view = upstream.view
-        base = self.base(self._book.view_hash, view.service, key, route)
+        if view_hash is None:
+            view_hash = self._book.view_hash
+        base = self.base(view_hash, view.service, key, route)
         return base != view.upstream
 
     def target(self, route: _hosts.Route) -> ids.HostId | None:
--- a/foxtailworks/placement/_handover.py
+++ b/foxtailworks/placement/_handover.py
@@ -65,6 +65,11 @@
         """The last goal that the other host acknowledged."""
         return self._reached
 
+    @property
+    def goal(self) -> Goal | None:
+        """What the present generation refers to."""
+        return self._goal
+
     @property
     def is_done(self) -> bool:
         """Whether all that is known was acknowledged."""
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -71,6 +71,7 @@
         )
         self._hosts: tuple[_types.HostView, ...] = ()
         self._leaving = False
+        self._alone_until = now + _hosts.START_S
         self.counts = PlacerCounts()
         """Counters."""
 
@@ -152,6 +153,8 @@
         hops: int,
     ) -> _types.Decision:
         """Decide for a flow that isn't in the table or is in doubt."""
+        if not self.is_ready(now):
+            return _types.Refuse(errors.Code.OWNER_STARTING)
         route = self._ring.route(_hashing.host_slot(key))
         known = self._known(service, key)
         to = self._next_hop(key, route, known, relayed_from, now)
@@ -285,6 +288,14 @@
             return False
         return view.weight > 0 or now - upstream.drained_at <= DRAIN_GRACE_S
 
+    def is_ready(self, now: float) -> bool:
+        """Return whether packets may be sent here.
+
+        A host that has just started and knows no other would take all flows
+        for its own.
+        """
+        return bool(self._ring.peers()) or now >= self._alone_until
+
     # Leaving.
 
     def leave(self, now: float) -> None:
