--- a/foxtailworks/placement/_exchange.py
+++ b/foxtailworks/placement/_exchange.py
@@ -5,23 +5,28 @@
 """
 
 from collections import abc
+import dataclasses
 import functools
 import itertools
 import typing
 
 from foxtailworks import ids
 from foxtailworks.placement import _flows
-from foxtailworks.placement import _handover
 from foxtailworks.placement import _hashing
 from foxtailworks.placement import _hosts
+from foxtailworks.placement import _incoming
 from foxtailworks.placement import _messages
+from foxtailworks.placement import _outgoing
 from foxtailworks.placement import _peers
+from foxtailworks.placement import _standing
 from foxtailworks.placement import _types
 from foxtailworks.placement import _upstreams
 from foxtailworks.placement import _walk
 
 FROZEN_S = 3.0
 """A host whose timer stood still for so long asks what it missed."""
+HURRY_S = 30.0
+"""After a change of hosts nothing waits for a full batch."""
 DROP_AFTER_S = 10.0
 """Flows handed over are kept so long after the hosts changed."""
 
@@ -53,8 +58,8 @@
         self._book = book
         self._table = table
         self._numbers = itertools.count(1)
-        self._outgoing: dict[ids.HostId, _handover.Outgoing] = {}
-        self._incoming = _handover.Incoming(cfg.max_held)
+        self._outgoing: dict[ids.HostId, _outgoing.Outgoing] = {}
+        self._incoming = _incoming.Incoming(cfg.max_held)
         self._walk = _walk.Walk(cfg, ring, table)
         self._peers = _peers.Peers(ring, now)
         self._starting = True
@@ -80,36 +85,73 @@
         """Exceptions that other hosts are told of."""
         return sum(out.told for out in self._outgoing.values())
 
-    def lookup(self, key: int) -> ids.UpstreamId | None:
-        """Return where another host said that a flow stands."""
-        return self._incoming.lookup(_hashing.fingerprint(key))
+    def lookup(
+        self, service: ids.ServiceId, key: int, route: _hosts.Route
+    ) -> _upstreams.Upstream | None:
+        """Return the upstream on which others said that a flow stands."""
+        mark = _hashing.fingerprint(key)
+        for standing, _ in self._incoming.lookup(mark):
+            name: ids.UpstreamId | None = standing.upstream
+            if not name:
+                name = self._base(standing.view, service, key, route)
+            upstream = self._book.get(name) if name else None
+            if upstream is not None and upstream.view.service == service:
+                return upstream
+        return None
+
+    def who_knows(self, key: int) -> ids.HostId | None:
+        """Return who told of a flow in terms that this host lacks.
+
+        A host that has started doesn't know the sets of upstreams of before.
+        """
+        mark = _hashing.fingerprint(key)
+        for standing, origin in self._incoming.lookup(mark):
+            if standing.upstream or self._book.knows_view(standing.view):
+                return None
+            if self._ring.is_present(origin):
+                return origin
+        return None
+
+    def _base(
+        self,
+        view_hash: int,
+        service: ids.ServiceId,
+        key: int,
+        route: _hosts.Route,
+    ) -> ids.UpstreamId | None:
+        """Return what the table of a remembered set of upstreams says."""
+        if not self._book.knows_view(view_hash):
+            return None
+        return self._table.base(view_hash, service, key, route)
 
     def whom_to_ask(
         self, route: _hosts.Route, now: float
     ) -> ids.HostId | None:
         """Return the host that may know a flow that this owner doesn't."""
         if self._starting:
-            host = route.heir
+            hosts = (route.prior, route.heir)
         elif now >= self._ring.changed_at + self._cfg.ask_s:
             return None
         elif route.prior and self._ring.is_present(route.prior):
-            host = route.prior
+            hosts = (route.prior, None)
         else:
-            host = route.returned
-        if host is None or not self._ring.is_present(host):
-            return None
-        if self._is_synced(host):
-            return None
-        if self._peers.started_within(host, self._cfg.ask_s, now):
-            return None
-        return host
+            hosts = (route.returned, None)
+        knowing = (h for h in hosts if h and self._may_know(h, now))
+        host = next(knowing, None)
+        return None if host is None or self._is_synced(host) else host
+
+    def _may_know(self, host: ids.HostId, now: float) -> bool:
+        """Return whether ``host`` is present and hasn't just started."""
+        if not self._ring.is_present(host):
+            return False
+        return not self._peers.started_within(host, self._cfg.ask_s, now)
 
     def _is_synced(self, host: ids.HostId) -> bool:
         """Return whether ``host`` told all, in terms of known views."""
         goal = self._incoming.goal_of(host)
-        if goal is None or goal.hosts != self._ring.view_hash:
+        if goal is None or not self._book.knows_view(goal.upstreams):
             return False
-        return self._book.knows_view(goal.upstreams)
+        return self._incoming.is_whole(host, self._ring.view_hash)
 
     @property
     def starting(self) -> bool:
@@ -144,16 +186,13 @@
         # The other host still goes by the set that it was told last.
         if out.goal is not None and self._book.knows_view(out.goal.upstreams):
             views.add(out.goal.upstreams)
-        if out.tells_of(mark) or any(
+        standing = _standing.AT_BASE
+        if any(
             self._table.is_exception(key, upstream, route, view)
             for view in views
         ):
-            out.add(mark, upstream.view.upstream)
-
-    def _tells_of(self, host: ids.HostId, mark: int) -> bool:
-        """Return whether ``host`` is told of a flow, maybe wrongly now."""
-        out = self._outgoing.get(host)
-        return out is not None and out.tells_of(mark)
+            standing = _standing.Standing(upstream.view.upstream)
+        out.add(mark, standing)
 
     def is_whole(self) -> bool:
         """Return whether every other host knows what it should."""
@@ -181,11 +220,11 @@
         for host in gone:
             del self._outgoing[host]
 
-    def _out(self, host: ids.HostId) -> _handover.Outgoing:
+    def _out(self, host: ids.HostId) -> _outgoing.Outgoing:
         """Return what is being told to ``host``."""
         out = self._outgoing.get(host)
         if out is None:
-            out = _handover.Outgoing(self._epoch, self._numbers)
+            out = _outgoing.Outgoing(self._epoch, self._numbers)
             out.to_epoch = self._peers.epoch(host)
             self._outgoing[host] = out
         return out
@@ -239,7 +278,7 @@
         hosts = [
             host
             for host, out in self._outgoing.items()
-            if not out.is_done and out.to_epoch
+            if out.to_epoch and not out.is_done
         ]
         if not hosts:
             return
@@ -247,9 +286,10 @@
         shift = self._turn % len(hosts)
         notices = self._ring.notices(now)
         may_finish = not self._starting
+        hurry = self._ring.is_leaving or now < self._ring.changed_at + HURRY_S
         for host in hosts[shift:] + hosts[:shift]:
             out = self._outgoing[host]
-            for msg in out.messages(now, notices, may_finish):
+            for msg in out.messages(now, notices, may_finish, hurry):
                 yield self._send(host, msg)
                 if self._tokens <= 0:
                     return
@@ -279,20 +319,24 @@
         peers = self._ring.peers()
         self._incoming.sweep(peers, self._ring.settle_s, self._now)
         self._gather_held(wanted)
-        yield from self._walk.run(wanted, self._is_handed_over, self._tells_of)
+        yield from self._walk.run(goal.upstreams, wanted, self._is_handed_over)
         for host in self._ring.peers():
             self._out(host).set_all(wanted.get(host, {}), goal)
 
     def _gather_held(self, wanted: _walk.Wanted) -> None:
         """Pass on what dead or restarted hosts had told."""
-        for mark, upstream, origin, epoch in self._incoming.items():
+        for mark, standing, origin, epoch in self._incoming.items():
             route = self._ring.route(_hashing.slot_of_fingerprint(mark))
             target = self._table.target(route)
             if target is None:
                 continue
-            if target == origin and self._peers.epoch(origin) <= epoch:
-                continue
-            wanted.setdefault(target, {})[mark] = upstream
+            runs = self._ring.is_present(origin)
+            if runs and self._peers.epoch(origin) <= epoch:
+                # It tells the owner itself.
+                if route.owner != self._me or target == origin:
+                    continue
+            hearsay = dataclasses.replace(standing, is_hearsay=True)
+            wanted.setdefault(target, {})[mark] = hearsay
 
     def _is_handed_over(self, owner: ids.HostId | None) -> bool:
         """Return whether another owner knows all that this host knows."""
@@ -309,9 +353,9 @@
             return False
         return out.is_done and out.reached == self._goal()
 
-    def _goal(self) -> _handover.Goal:
+    def _goal(self) -> _standing.Goal:
         """Return the views that exceptions refer to now."""
-        return _handover.Goal(self._ring.view_hash, self._book.view_hash)
+        return _standing.Goal(self._ring.view_hash, self._book.view_hash)
 
     # Messages.
 
@@ -351,7 +395,7 @@
         if message.to_epoch != self._epoch:
             yield self._hello(origin, now)
             return
-        if not self._incoming.take_synced(origin, message):
+        if not self._incoming.take_synced(origin, message, now):
             return
         if self._starting:
             self._ring.adopt(message.absent, message.fresh, now)
--- a/foxtailworks/placement/_hosts.py
+++ b/foxtailworks/placement/_hosts.py
@@ -221,9 +221,11 @@
         """Return the other hosts that are live or leaving."""
         return tuple(m.host for m in self._present() if m.host != self._me)
 
-    def is_fresh(self) -> bool:
-        """Return whether this host doesn't count as settled yet."""
-        return self._me not in self._settled
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this host hands over what it owns."""
+        own = self._members[self._me]
+        return own.state is _types.HostState.LEAVING
 
     def route(self, slot: int) -> Route:
         """Return what is known of ``slot``."""
--- a/foxtailworks/placement/_messages.py
+++ b/foxtailworks/placement/_messages.py
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Digest:
-    """Some flows that stand elsewhere than the computed table says."""
+    """Some flows that stand at the same place."""
 
     epoch: int
     """Incarnation of the sender."""
@@ -23,7 +23,11 @@
     seq: int
     """Acknowledged by this number."""
     upstream: ids.UpstreamId
-    """Where these flows stand."""
+    """Where these flows stand; empty: where the computed table says."""
+    view: int
+    """Hash of the set of upstreams of that table; 0: as last synced."""
+    is_hearsay: bool
+    """Whether the sender has it from a third host."""
     flows: bytes
     """Packed fingerprints."""
 
@@ -52,7 +56,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Synced:
-    """All digests so far make up the sender's exceptions for you."""
+    """The receiver knows all that it should of flows off the table."""
 
     epoch: int
     """Incarnation of the sender."""
@@ -66,6 +70,8 @@
     """Hash of the sender's view of hosts."""
     upstreams: int
     """Hash of the set of upstreams that its table is computed from."""
+    is_whole: bool
+    """Whether the receiver knows all other flows, too."""
     absent: tuple[Absent, ...]
     """The most recent deaths, for a host that starts."""
     fresh: tuple[Fresh, ...]
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -157,7 +157,7 @@
             return _types.Refuse(errors.Code.OWNER_STARTING)
         route = self._ring.route(_hashing.host_slot(key))
         known = self._known(service, key)
-        to = self._next_hop(key, route, known, relayed_from, now)
+        to = self._next_hop(service, key, route, known, relayed_from, now)
         if to is not None and hops < MAX_HOPS:
             self.counts.relayed += 1
             return _types.RelayTo(to, hops + 1)
@@ -166,7 +166,7 @@
             return _types.Refuse(errors.Code.OWNER_STARTING)
         if known is None:
             return self._place(service, key, route, now)
-        told = self._told(service, key)
+        told = self._exchange.lookup(service, key, route)
         if told is not None and known.heard < self._ring.doubt_before:
             known.upstream = told
         known.heard = now
@@ -174,6 +174,7 @@
 
     def _next_hop(
         self,
+        service: ids.ServiceId,
         key: int,
         route: _hosts.Route,
         known: _flows.Flow | None,
@@ -184,6 +185,8 @@
         owner = route.owner
         if owner == self._me:
             ask = self._exchange.whom_to_ask(route, now)
+            if ask is None and known is None:
+                ask = self._exchange.who_knows(key)
             if ask != relayed_from:
                 return ask
             # A host that starts asks also the one that relayed to it.
@@ -193,7 +196,7 @@
         if owner != relayed_from:
             return owner
         # The owner asks what is known here of the flow.
-        is_told = self._exchange.lookup(key) is not None
+        is_told = self._exchange.lookup(service, key, route) is not None
         if is_told or self._exchange.is_new(owner, now):
             return None
         return owner
@@ -214,16 +217,6 @@
         flow.upstream = upstream
         return flow
 
-    def _told(
-        self, service: ids.ServiceId, key: int
-    ) -> _upstreams.Upstream | None:
-        """Return where another host said that a flow stands."""
-        told = self._exchange.lookup(key)
-        upstream = self._book.get(told) if told is not None else None
-        if upstream is None or upstream.view.service != service:
-            return None
-        return upstream
-
     def _place(
         self,
         service: ids.ServiceId,
@@ -258,7 +251,7 @@
         now: float,
     ) -> _upstreams.Upstream | None:
         """Return where a flow stands that this host doesn't know."""
-        upstream = self._told(service, key)
+        upstream = self._exchange.lookup(service, key, route)
         if upstream is not None:
             return upstream
         placed_by = self._exchange.base_view(route)
--- a/foxtailworks/placement/_upstreams.py
+++ b/foxtailworks/placement/_upstreams.py
@@ -11,7 +11,7 @@
 
 MAX_TABLES = 512
 """Computed tables kept; the least used are computed again when needed."""
-MAX_VIEWS = 16
+MAX_VIEWS = 64
 """Sets of upstreams kept, for hosts whose digests refer to older ones."""
 
 _Members = tuple[_table.Member, ...]
--- a/foxtailworks/placement/_walk.py
+++ b/foxtailworks/placement/_walk.py
@@ -5,12 +5,12 @@
 
 from foxtailworks import ids
 from foxtailworks.placement import _flows
-from foxtailworks.placement import _handover
 from foxtailworks.placement import _hashing
 from foxtailworks.placement import _hosts
+from foxtailworks.placement import _standing
 from foxtailworks.placement import _types
 
-Wanted = dict[ids.HostId, _handover.Marks]
+Wanted = dict[ids.HostId, _standing.Marks]
 """What each host should know."""
 
 
@@ -31,7 +31,7 @@
         self._ring = ring
         self._table = table
         self._idle: dict[ids.ServiceId, float] = {}
-        self._past: dict[int, tuple[ids.UpstreamId, float]] = {}
+        self._past: dict[int, _flows.Flow] = {}
         self.now = 0.0
         """Time of the present step."""
 
@@ -43,59 +43,65 @@
 
     def run(
         self,
+        view_hash: int,
         wanted: Wanted,
         is_handed_over: abc.Callable[[ids.HostId | None], bool],
-        tells_of: abc.Callable[[ids.HostId, int], bool],
     ) -> abc.Iterator[None]:
         """Add to ``wanted`` what other hosts should know of the flows.
 
+        :param view_hash: the set of upstreams that it refers to
         :param is_handed_over: whether an owner knows all it should
-        :param tells_of: whether a host was told of a flow before
         """
-        self._gather_past(wanted)
-        keys = list(self._table.flows)
-        for start in range(0, len(keys), self._cfg.scan_per_tick):
-            for key in keys[start : start + self._cfg.scan_per_tick]:
-                self._visit(key, wanted, is_handed_over, tells_of)
-            yield
-
-    def _gather_past(self, wanted: Wanted) -> None:
-        """Go on telling owners of flows that were handed over to them."""
-        over = [m for m, item in self._past.items() if item[1] < self.now]
-        for mark in over:
-            del self._past[mark]
-        for mark, (upstream, _) in self._past.items():
-            route = self._ring.route(_hashing.slot_of_fingerprint(mark))
-            target = self._table.target(route)
-            if target is not None:
-                wanted.setdefault(target, {})[mark] = upstream
+        for flows in (self._past, self._table.flows):
+            keys = list(flows)
+            for start in range(0, len(keys), self._cfg.scan_per_tick):
+                for key in keys[start : start + self._cfg.scan_per_tick]:
+                    self._visit(flows, key, view_hash, wanted)
+                yield
+        self._hand_over(is_handed_over)
 
     def _visit(
         self,
+        flows: dict[int, _flows.Flow],
         key: int,
+        view_hash: int,
         wanted: Wanted,
-        is_handed_over: abc.Callable[[ids.HostId | None], bool],
-        tells_of: abc.Callable[[ids.HostId, int], bool],
     ) -> None:
         """Look at one flow."""
-        flow = self._table.flows.get(key)
+        flow = flows.get(key)
         if flow is None:
             return
-        ends = self._ends(flow)
-        if ends < self.now:
-            del self._table.flows[key]
+        if self._ends(flow) < self.now:
+            del flows[key]
             return
         route = self._ring.route(_hashing.host_slot(key))
-        is_exception = self._table.is_exception(key, flow.upstream, route)
-        mark = _hashing.fingerprint(key)
-        upstream = flow.upstream.view.upstream
         target = self._table.target(route)
-        if target is not None and (is_exception or tells_of(target, mark)):
-            wanted.setdefault(target, {})[mark] = upstream
-        if is_handed_over(route.owner):
-            del self._table.flows[key]
-            if is_exception and len(self._past) < self._cfg.max_held:
-                self._past[mark] = (upstream, ends)
+        upstream = flow.upstream
+        if target is None or not upstream.alive:
+            return
+        if self._table.is_exception(key, upstream, route, view_hash):
+            standing = _standing.Standing(upstream.view.upstream)
+        else:
+            standing = _standing.AT_BASE
+        wanted.setdefault(target, {})[_hashing.fingerprint(key)] = standing
+
+    def _hand_over(
+        self, is_handed_over: abc.Callable[[ids.HostId | None], bool]
+    ) -> None:
+        """Stop answering for flows that their owners know.
+
+        They are kept apart until they would have ended, to be told of.
+        """
+        done = {h for h in self._ring.peers() if is_handed_over(h)}
+        if not done:
+            return
+        flows = self._table.flows
+        for key in list(flows):
+            owner = self._ring.route(_hashing.host_slot(key)).owner
+            if owner in done:
+                flow = flows.pop(key)
+                if len(self._past) < self._cfg.max_held:
+                    self._past[key] = flow
 
     def _ends(self, flow: _flows.Flow) -> float:
         """Return when a flow has ended unless a packet comes."""
--- /dev/null
+++ b/foxtailworks/placement/tests/test_placer.py
@@ -0,0 +1,315 @@
+"""Flows keep their upstream, whatever the hosts see and when."""
+
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from foxtailworks.bench import _fleet
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import placement
+
+SERVICES = (ids.ServiceId("check-in"), ids.ServiceId("photo"))
+MAX_HOSTS = 5
+CALLERS = 60
+STEP_S = 0.1
+SETTLE_S = 12.0
+CFG = placement.PlacementConfig(
+    flow_idle_s=1000.0, max_flows=400, max_held=400
+)
+
+
+def host_view(i):
+    return placement.HostView(
+        ids.HostId(f"entry-{i}"), ids.ZoneId(f"zone-{i % 2}")
+    )
+
+
+def upstream_view(i, incarnation):
+    # Two services alternate; an address comes back under another one.
+    return placement.UpstreamView(
+        ids.UpstreamId(f"10.9.0.{i}:9000#{incarnation}"),
+        SERVICES[(i + incarnation) % 2],
+        ids.ZoneId(f"zone-{i % 2}"),
+    )
+
+
+class Flows(stateful.RuleBasedStateMachine):
+    """Sprayed packets while hosts and upstreams change.
+
+    Planned changes never move a flow; an unplanned one may only move flows
+    when two of them come at once, or of an upstream that is gone.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.rng = random.Random(7)
+        self.fleet = _fleet.Fleet(self.rng, CFG)
+        self.now = 0.0
+        self.incarnation = 1
+        self.hosts = {}
+        self.upstreams = {}
+        self.stands = {}
+        for i in range(4):
+            view = upstream_view(i, 1)
+            self.upstreams[view.upstream] = view
+        for i in range(3):
+            self.hosts[host_view(i).host] = host_view(i)
+            self.fleet.add_host(host_view(i), 0.0)
+        self.learn(0.0)
+        self.settle()
+
+    # Time and views.
+
+    def wait(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            self.fleet.tick(self.now)
+
+    def settle(self):
+        self.wait(SETTLE_S + CFG.ask_s)
+
+    def learn(self, uneven_s=1.0):
+        """Have hosts learn of the views one after the other."""
+        names = list(self.hosts)
+        self.rng.shuffle(names)
+        for host in names:
+            views = tuple(self.hosts.values())
+            upstreams = tuple(self.upstreams.values())
+            self.fleet.set_hosts(host, views, self.now)
+            self.fleet.set_upstreams(host, upstreams, self.now)
+            self.packets(4)
+            self.wait(uneven_s / len(names))
+
+    # Packets.
+
+    def packets(self, count):
+        for _ in range(count):
+            self.packet(self.rng.randrange(CALLERS))
+
+    def packet(self, i):
+        service = SERVICES[i % 2]
+        caller = ids.Address(f"10.1.0.{i}", 4000)
+        host = self.rng.choice(list(self.hosts))
+        found = self.fleet.packet(host, service, caller, self.now)
+        if found is None:
+            return
+        before = self.stands.get(i)
+        if found in self.upstreams:
+            assert self.upstreams[found].service == service
+        if before in self.upstreams:
+            assert found == before, f"flow {i} moved"
+        self.stands[i] = found
+
+    @stateful.rule(count=st.integers(1, 30))
+    def spray(self, count):
+        self.packets(count)
+
+    @stateful.rule(seconds=st.sampled_from((0.2, 2.0, 40.0)))
+    def idle(self, seconds):
+        self.wait(seconds)
+
+    # Planned changes: no pause between them.
+
+    @stateful.rule()
+    def join(self):
+        fresh = [
+            host_view(i)
+            for i in range(MAX_HOSTS)
+            if host_view(i).host not in self.hosts
+        ]
+        if fresh:
+            self.hosts[fresh[0].host] = fresh[0]
+            self.fleet.add_host(fresh[0], self.now)
+            self.fleet.set_upstreams(
+                fresh[0].host, tuple(self.upstreams.values()), self.now
+            )
+            self.learn()
+
+    @stateful.rule(pick=st.integers(0, MAX_HOSTS))
+    def leave(self, pick):
+        if len(self.hosts) < 3:
+            return
+        host = list(self.hosts)[pick % len(self.hosts)]
+        self.fleet.leave(host, self.now)
+        self.hosts[host] = dataclasses.replace(
+            self.hosts[host], state=placement.HostState.LEAVING
+        )
+        self.learn()
+        for _ in range(300):
+            if self.fleet.placers[host].left:
+                break
+            self.wait(STEP_S)
+            self.packets(1)
+        assert self.fleet.placers[host].left
+        del self.hosts[host]
+        self.fleet.kill(host)
+        self.learn()
+
+    @stateful.rule(pick=st.integers(0, 9))
+    def drain(self, pick):
+        views = list(self.upstreams.values())
+        view = views[pick % len(views)]
+        same = [v for v in views if v.service == view.service and v.weight > 0]
+        if len(same) > 1:
+            self.upstreams[view.upstream] = dataclasses.replace(
+                view, weight=0.0, accepts_new=False
+            )
+            self.learn()
+
+    @stateful.rule(i=st.integers(0, 7))
+    def add(self, i):
+        if any(f"0.{i}:" in name for name in self.upstreams):
+            return
+        self.incarnation += 1
+        view = upstream_view(i, self.incarnation)
+        self.upstreams[view.upstream] = view
+        self.learn()
+
+    @stateful.rule(pick=st.integers(0, 9), weight=st.sampled_from((0.5, 3)))
+    def weigh(self, pick, weight):
+        views = [v for v in self.upstreams.values() if v.weight > 0]
+        view = views[pick % len(views)]
+        self.upstreams[view.upstream] = dataclasses.replace(
+            view, weight=weight
+        )
+        self.learn()
+
+    # Unplanned changes: one at a time.
+
+    @stateful.rule(pick=st.integers(0, 9))
+    def crash_upstream(self, pick):
+        view = list(self.upstreams.values())[pick % len(self.upstreams)]
+        same = [
+            v
+            for v in self.upstreams.values()
+            if v.service == view.service and v.weight > 0
+        ]
+        if len(same) > 1:
+            del self.upstreams[view.upstream]
+            self.learn()
+
+    @stateful.rule(pick=st.integers(0, MAX_HOSTS), back=st.booleans())
+    def crash_host(self, pick, back):
+        if len(self.hosts) < 3:
+            return
+        self.settle()
+        host = list(self.hosts)[pick % len(self.hosts)]
+        view = self.hosts.pop(host)
+        self.fleet.kill(host)
+        self.wait(1.0)
+        self.learn()
+        if back:
+            self.hosts[host] = view
+            self.fleet.add_host(view, self.now)
+            self.fleet.set_upstreams(
+                host, tuple(self.upstreams.values()), self.now
+            )
+            self.learn()
+        self.settle()
+
+    @stateful.invariant()
+    def is_bounded(self):
+        for placer in self.fleet.placers.values():
+            assert placer.flows <= CFG.max_flows
+            assert placer.held <= CFG.max_held
+        budget = CFG.control_bytes_per_s * self.now
+        for placer in self.fleet.placers.values():
+            slack = 2 * CFG.control_burst_bytes
+            assert placer.control_bytes <= budget + slack
+
+    @stateful.invariant()
+    def hops_are_few(self):
+        assert max(self.fleet.hops, default=0) <= placement.MAX_HOPS
+
+
+TestFlows = Flows.TestCase
+TestFlows.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=12,
+    stateful_step_count=18,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def small_fleet(cfg=CFG, hosts=3):
+    fleet = _fleet.Fleet(random.Random(3), cfg)
+    views = tuple(host_view(i) for i in range(hosts))
+    upstreams = tuple(upstream_view(i, 1) for i in range(4))
+    for view in views:
+        fleet.add_host(view, 0.0)
+        fleet.set_hosts(view.host, views, 0.0)
+        fleet.set_upstreams(view.host, upstreams, 0.0)
+    for step in range(200):
+        fleet.tick(step * STEP_S)
+    return fleet, views, upstreams
+
+
+def test_a_full_table_still_places_each_flow_the_same():
+    cfg = dataclasses.replace(CFG, max_flows=5)
+    fleet, views, _ = small_fleet(cfg)
+    where = {}
+    for _ in range(3):
+        for i in range(100):
+            caller = ids.Address(f"10.1.0.{i}", 4000)
+            host = views[i % 3].host
+            found = fleet.packet(host, SERVICES[0], caller, 20.0)
+            assert where.setdefault(i, found) == found
+    assert all(p.flows <= 5 for p in fleet.placers.values())
+    assert any(p.counts.untracked for p in fleet.placers.values())
+
+
+def test_ended_flows_leave_the_table():
+    fleet, views, _ = small_fleet(dataclasses.replace(CFG, flow_idle_s=30.0))
+    for i in range(50):
+        caller = ids.Address(f"10.1.0.{i}", 4000)
+        fleet.packet(views[0].host, SERVICES[0], caller, 20.0)
+    assert sum(p.flows for p in fleet.placers.values()) == 50
+    for step in range(1100):
+        fleet.tick(20.0 + step * STEP_S)
+    assert sum(p.flows for p in fleet.placers.values()) == 0
+
+
+def test_no_upstream_is_a_numbered_refusal():
+    fleet, views, upstreams = small_fleet()
+    shut = tuple(
+        dataclasses.replace(view, accepts_new=False) for view in upstreams
+    )
+    for view in views:
+        fleet.set_upstreams(view.host, shut, 20.0)
+    caller = ids.Address("10.1.0.1", 4000)
+    codes = set()
+    for placer in fleet.placers.values():
+        found = placer.on_packet(SERVICES[0], caller, 20.0)
+        if isinstance(found, placement.Refuse):
+            codes.add(found.code)
+    assert codes == {errors.Code.NO_UPSTREAM}
+
+
+def test_a_draining_upstream_gets_no_new_flow():
+    fleet, views, upstreams = small_fleet()
+    drained = dataclasses.replace(upstreams[0], weight=0.0, accepts_new=False)
+    for view in views:
+        fleet.set_upstreams(view.host, (drained, *upstreams[1:]), 20.0)
+    for i in range(200):
+        caller = ids.Address(f"10.2.0.{i}", 4000)
+        found = fleet.packet(views[i % 3].host, drained.service, caller, 23.1)
+        assert found is not None and found != drained.upstream
+
+
+def test_late_and_strange_messages_are_harmless():
+    fleet, views, _ = small_fleet()
+    placer = fleet.placers[views[0].host]
+    other = views[1].host
+    digest = placement.Digest(
+        0, 1, 1, 5, ids.UpstreamId("x"), 0, False, b"\xff" * 900
+    )
+    strange = ids.HostId("nobody")
+    assert placer.on_message(strange, digest, 20.0) == ()
+    assert placer.on_message(other, "not a message", 20.0) == ()
+    assert placer.on_message(other, digest, 20.0) == ()
+    assert placer.held == 0
