--- a/foxtailworks/placement/_exchange.py
+++ b/foxtailworks/placement/_exchange.py
@@ -27,6 +27,8 @@
 """A host whose timer stood still for so long asks what it missed."""
 HURRY_S = 30.0
 """After a change of hosts nothing waits for a full batch."""
+REFUSED_S = 2.0
+"""What another host refused is told in other terms after so long."""
 DROP_AFTER_S = 10.0
 """Flows handed over are kept so long after the hosts changed."""
 
@@ -186,7 +188,7 @@
         # The other host still goes by the set that it was told last.
         if out.goal is not None and self._book.knows_view(out.goal.upstreams):
             views.add(out.goal.upstreams)
-        standing = _standing.AT_BASE
+        standing = _standing.at_base(self._book.view_hash)
         if any(
             self._table.is_exception(key, upstream, route, view)
             for view in views
@@ -194,6 +196,11 @@
             standing = _standing.Standing(upstream.view.upstream)
         out.add(mark, standing)
 
+    def _told(self, host: ids.HostId, mark: int) -> _standing.Standing | None:
+        """Return what ``host`` is told of a flow."""
+        out = self._outgoing.get(host)
+        return out.standing_of(mark) if out is not None else None
+
     def is_whole(self) -> bool:
         """Return whether every other host knows what it should."""
         if self._dirty or self._scan is not None:
@@ -319,7 +326,9 @@
         peers = self._ring.peers()
         self._incoming.sweep(peers, self._ring.settle_s, self._now)
         self._gather_held(wanted)
-        yield from self._walk.run(goal.upstreams, wanted, self._is_handed_over)
+        yield from self._walk.run(
+            goal.upstreams, wanted, self._is_handed_over, self._told
+        )
         for host in self._ring.peers():
             self._out(host).set_all(wanted.get(host, {}), goal)
 
@@ -384,9 +393,22 @@
         if message.to_epoch != self._epoch:
             yield self._hello(origin, now)
             return
-        if self._incoming.take_digest(origin, message):
+        if self._is_unclear(message):
+            ack = _messages.DigestAck(message.epoch, (message.seq,), True)
+            yield self._send(origin, ack)
+        elif self._incoming.take_digest(origin, message):
             yield self._ack(origin, message.epoch, message.seq)
 
+    def _is_unclear(self, message: _messages.Digest) -> bool:
+        """Return whether the sender should tell it in other terms.
+
+        What it has from a third host it can't; that is kept, and the sender
+        is asked when a packet comes.
+        """
+        if message.upstream or message.is_hearsay:
+            return False
+        return not self._book.knows_view(message.view)
+
     @_handle.register
     def _on_synced(
         self, message: _messages.Synced, origin: ids.HostId, now: float
@@ -415,7 +437,12 @@
             self.ignored += 1
         elif not message.seqs:
             self._peers.note_greeted(origin)
-        elif origin in self._outgoing:
+        elif origin not in self._outgoing:
+            self.ignored += 1
+        elif message.is_refused:
+            self._outgoing[origin].refuse(message.seqs)
+            self._scan_due = min(self._scan_due, now + REFUSED_S)
+        else:
             self._outgoing[origin].acknowledge(message.seqs)
         return iter(())
 
--- a/foxtailworks/placement/_flows.py
+++ b/foxtailworks/placement/_flows.py
@@ -5,6 +5,7 @@
 from foxtailworks import ids
 from foxtailworks.placement import _hashing
 from foxtailworks.placement import _hosts
+from foxtailworks.placement import _standing
 from foxtailworks.placement import _upstreams
 
 
@@ -77,6 +78,22 @@
         base = self.base(view_hash, view.service, key, route)
         return base != view.upstream
 
+    def standing(
+        self,
+        key: int,
+        upstream: _upstreams.Upstream,
+        route: _hosts.Route,
+        view_hash: int,
+    ) -> _standing.Standing:
+        """Return the short form of where a flow stands."""
+        if self.is_exception(key, upstream, route, view_hash):
+            return _standing.Standing(upstream.view.upstream)
+        return _standing.at_base(view_hash)
+
+    def is_recent(self, view_hash: int) -> bool:
+        """Return whether all hosts still know a set of upstreams."""
+        return self._book.is_recent(view_hash)
+
     def target(self, route: _hosts.Route) -> ids.HostId | None:
         """Return the host that should know this host's exceptions."""
         return route.heir if route.owner == self._me else route.owner
--- a/foxtailworks/placement/_incoming.py
+++ b/foxtailworks/placement/_incoming.py
@@ -15,7 +15,6 @@
 
     origin: ids.HostId
     epoch: int
-    view: int | None
     valid: bool = True
     superseded_at: float | None = None
 
@@ -89,19 +88,10 @@
         """Yield where a flow may stand, and who said so."""
         item = self._held.get(mark)
         while item is not None:
-            standing = self._resolve(item) if item.generation.valid else None
-            if standing is not None:
-                yield standing, item.generation.origin
+            if item.generation.valid:
+                yield item.standing, item.generation.origin
             item = item.older
 
-    def _resolve(self, item: _Held) -> _standing.Standing | None:
-        """Name the set of upstreams by which a flow stands."""
-        if item.standing != _standing.AT_BASE:
-            return item.standing
-        if item.generation.view is None:
-            return None
-        return dataclasses.replace(item.standing, view=item.generation.view)
-
     def goal_of(self, origin: ids.HostId) -> _standing.Goal | None:
         """Return what the last whole generation of a host refers to."""
         known = self._origins.get(origin)
@@ -130,8 +120,7 @@
         if key < known.whole:
             return True
         if key not in known.generations:
-            view = known.goal.upstreams if known.goal else None
-            known.generations[key] = _Generation(origin, msg.epoch, view)
+            known.generations[key] = _Generation(origin, msg.epoch)
         standing = _standing.Standing(msg.upstream, msg.view, msg.is_hearsay)
         item = _Held(standing, known.generations[key], msg.seq)
         for mark in _digest.unpack(msg.flows):
@@ -162,9 +151,6 @@
             return True
         known.synced_seq = msg.seq
         known.goal = _standing.Goal(msg.hosts, msg.upstreams)
-        for generation in known.generations.values():
-            if generation.epoch == msg.epoch:
-                generation.view = msg.upstreams
         if msg.is_whole:
             known.whole = whole
             known.whole_hosts = msg.hosts
@@ -202,12 +188,9 @@
         """Yield fingerprint, standing, origin and its epoch of each."""
         for mark, held in list(self._held.items()):
             item = held.first_valid()
-            if item is None:
-                continue
-            standing = self._resolve(item)
-            if standing is not None:
+            if item is not None:
                 origin = item.generation
-                yield mark, standing, origin.origin, origin.epoch
+                yield mark, item.standing, origin.origin, origin.epoch
 
     def sweep(
         self, present: abc.Container[ids.HostId], keep_s: float, now: float
--- a/foxtailworks/placement/_messages.py
+++ b/foxtailworks/placement/_messages.py
@@ -25,7 +25,7 @@
     upstream: ids.UpstreamId
     """Where these flows stand; empty: where the computed table says."""
     view: int
-    """Hash of the set of upstreams of that table; 0: as last synced."""
+    """Hash of the set of upstreams that this table is made of."""
     is_hearsay: bool
     """Whether the sender has it from a third host."""
     flows: bytes
@@ -86,6 +86,8 @@
     """Incarnation of the host whose messages are acknowledged."""
     seqs: tuple[int, ...]
     """Their numbers; none acknowledges a :class:`Resend`."""
+    is_refused: bool = False
+    """Whether they name a set of upstreams that the receiver lacks."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailworks/placement/_outgoing.py
+++ b/foxtailworks/placement/_outgoing.py
@@ -67,6 +67,7 @@
         self._unacked: dict[int, _Sent] = {}
         self._batch_due: float | None = None
         self._is_whole = False
+        self._is_refused = False
 
     def restart(self) -> None:
         """Forget what was told: the other host has started empty."""
@@ -94,6 +95,10 @@
         """How many flows the other host is told of."""
         return len(self._told)
 
+    def standing_of(self, mark: int) -> _standing.Standing | None:
+        """Return what the other host is told of a flow."""
+        return self._told.get(mark)
+
     def add(self, mark: int, standing: _standing.Standing) -> None:
         """Tell of one more flow."""
         before = self._told.get(mark)
@@ -110,6 +115,7 @@
         ended = sum(1 for mark in self._told if mark not in wanted)
         if ended > STALE_MIN + STALE_PART * len(wanted):
             self._begin()
+        self._is_refused = False
         for mark, standing in wanted.items():
             self.add(mark, standing)
         self.goal = goal
@@ -121,7 +127,20 @@
             if sent and isinstance(sent.message, _messages.Synced):
                 msg = sent.message
                 self.reached = _standing.Goal(msg.hosts, msg.upstreams)
-                self._is_whole = msg.is_whole and not self._pending
+                self._is_whole = msg.is_whole and self._is_all_told()
+
+    def refuse(self, seqs: abc.Iterable[int]) -> None:
+        """Take back what the other host can't make sense of."""
+        for seq in seqs:
+            sent = self._unacked.pop(seq, None)
+            if sent is None or not isinstance(sent.message, _messages.Digest):
+                continue
+            self._is_refused = True
+            self._is_whole = False
+            for mark in _digest.unpack(sent.message.flows):
+                told = self._told.get(mark)
+                if told is not None and not told.upstream:
+                    del self._told[mark]
 
     def messages(
         self, now: float, notices: Notices, may_finish: bool, hurry: bool
@@ -152,18 +171,18 @@
         for standing in list(self._pending):
             if not self._pending[standing]:
                 del self._pending[standing]
-            elif standing != _standing.AT_BASE:
+            elif standing.upstream:
                 self._pack(standing)
                 return True
-        marks = self._pending.get(_standing.AT_BASE)
-        if not marks:
+        if not self._pending:
             return False
         if self._batch_due is None:
             self._batch_due = now + BATCH_WAIT_S
+        standing, marks = next(iter(self._pending.items()))
         if len(marks) < FULL_BATCH and now < self._batch_due and not hurry:
             return False
         self._batch_due = None
-        self._pack(_standing.AT_BASE)
+        self._pack(standing)
         return True
 
     def _pack(self, standing: _standing.Standing) -> None:
@@ -194,11 +213,15 @@
         """
         if self._ready or self._unacked:
             return False
-        if any(s != _standing.AT_BASE for s in self._pending):
+        if any(standing.upstream for standing in self._pending):
             return False
         if self.goal != self.reached:
             return True
-        return not self._pending and not self._is_whole
+        return self._is_all_told() and not self._is_whole
+
+    def _is_all_told(self) -> bool:
+        """Return whether nothing waits or was refused."""
+        return not self._pending and not self._is_refused
 
     def _synced(
         self, goal: _standing.Goal, notices: Notices
@@ -211,7 +234,7 @@
             next(self._numbers),
             goal.hosts,
             goal.upstreams,
-            not self._pending,
+            self._is_all_told(),
             *notices,
         )
 
--- a/foxtailworks/placement/_standing.py
+++ b/foxtailworks/placement/_standing.py
@@ -12,13 +12,15 @@
     upstream: ids.UpstreamId
     """Empty: where the computed table says."""
     view: int = 0
-    """Set of upstreams of that table; 0: the sender's latest goal."""
+    """Hash of the set of upstreams that this table is made of."""
     is_hearsay: bool = False
     """Whether the sender has it from a third host."""
 
 
-AT_BASE = Standing(ids.UpstreamId(""))
-"""Where the table of the sender's latest goal says."""
+def at_base(view: int) -> Standing:
+    """Return the standing of flows that stand where a table says."""
+    return Standing(ids.UpstreamId(""), view)
+
 
 Marks = dict[int, Standing]
 """Fingerprint -> where the flow stands."""
--- a/foxtailworks/placement/_upstreams.py
+++ b/foxtailworks/placement/_upstreams.py
@@ -11,7 +11,7 @@
 
 MAX_TABLES = 512
 """Computed tables kept; the least used are computed again when needed."""
-MAX_VIEWS = 64
+MAX_VIEWS = 128
 """Sets of upstreams kept, for hosts whose digests refer to older ones."""
 
 _Members = tuple[_table.Member, ...]
@@ -54,6 +54,8 @@
             tuple[int, _table.Shares, ids.ZoneId],
             tuple[ids.UpstreamId, ...],
         ] = collections.OrderedDict()
+        self._numbers: dict[int, int] = {}
+        self._count = 0
         self.view_hash = 0
         """Hash of the upstreams that have a weight."""
         self._views[0] = _View({}, {})
@@ -113,10 +115,21 @@
         self.view_hash = view_hash
         self._views[view_hash] = _View(members, hashes)
         self._views.move_to_end(view_hash)
+        if changed:
+            self._count += 1
+        self._numbers[view_hash] = self._count
         while len(self._views) > MAX_VIEWS:
-            self._views.popitem(last=False)
+            oldest, _ = self._views.popitem(last=False)
+            self._numbers.pop(oldest, None)
         return changed
 
+    def is_recent(self, view_hash: int) -> bool:
+        """Return whether a set is among the later half of those kept."""
+        if view_hash == self.view_hash:
+            return True
+        number = self._numbers.get(view_hash, 0)
+        return number > self._count - MAX_VIEWS // 2
+
     def knows_view(self, view_hash: int) -> bool:
         """Return whether the set with this hash is remembered."""
         return view_hash in self._views
--- a/foxtailworks/placement/_walk.py
+++ b/foxtailworks/placement/_walk.py
@@ -46,17 +46,19 @@
         view_hash: int,
         wanted: Wanted,
         is_handed_over: abc.Callable[[ids.HostId | None], bool],
+        told: abc.Callable[[ids.HostId, int], _standing.Standing | None],
     ) -> abc.Iterator[None]:
         """Add to ``wanted`` what other hosts should know of the flows.
 
-        :param view_hash: the set of upstreams that it refers to
+        :param view_hash: the present set of upstreams
         :param is_handed_over: whether an owner knows all it should
+        :param told: what a host is told of a flow so far
         """
         for flows in (self._past, self._table.flows):
             keys = list(flows)
             for start in range(0, len(keys), self._cfg.scan_per_tick):
                 for key in keys[start : start + self._cfg.scan_per_tick]:
-                    self._visit(flows, key, view_hash, wanted)
+                    self._visit(flows, key, view_hash, wanted, told)
                 yield
         self._hand_over(is_handed_over)
 
@@ -66,6 +68,7 @@
         key: int,
         view_hash: int,
         wanted: Wanted,
+        told: abc.Callable[[ids.HostId, int], _standing.Standing | None],
     ) -> None:
         """Look at one flow."""
         flow = flows.get(key)
@@ -79,11 +82,28 @@
         upstream = flow.upstream
         if target is None or not upstream.alive:
             return
-        if self._table.is_exception(key, upstream, route, view_hash):
-            standing = _standing.Standing(upstream.view.upstream)
-        else:
-            standing = _standing.AT_BASE
-        wanted.setdefault(target, {})[_hashing.fingerprint(key)] = standing
+        mark = _hashing.fingerprint(key)
+        standing = told(target, mark)
+        if standing is None or not self._holds(standing, key, flow, route):
+            standing = self._table.standing(key, upstream, route, view_hash)
+        wanted.setdefault(target, {})[mark] = standing
+
+    def _holds(
+        self,
+        standing: _standing.Standing,
+        key: int,
+        flow: _flows.Flow,
+        route: _hosts.Route,
+    ) -> bool:
+        """Return whether what was told of a flow is still so."""
+        upstream = flow.upstream
+        if standing.upstream:
+            return standing.upstream == upstream.view.upstream
+        if not self._table.is_recent(standing.view):
+            return False
+        return not self._table.is_exception(
+            key, upstream, route, standing.view
+        )
 
     def _hand_over(
         self, is_handed_over: abc.Callable[[ids.HostId | None], bool]
