--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -13,7 +13,7 @@
 from foxtailworks.placement import _types
 from foxtailworks.placement import _upstreams
 
-MAX_HOPS = 3
+MAX_HOPS = 5
 """A packet relayed so often is placed where it is."""
 DRAIN_GRACE_S = 3.0
 """A draining upstream may get new flows for so long."""
@@ -186,7 +186,7 @@
         if owner == self._me:
             ask = self._exchange.whom_to_ask(route, now)
             if ask is None and known is None:
-                ask = self._exchange.who_knows(key)
+                return self._exchange.who_knows(key)
             if ask != relayed_from:
                 return ask
             # A host that starts asks also the one that relayed to it.
@@ -196,10 +196,12 @@
         if owner != relayed_from:
             return owner
         # The owner asks what is known here of the flow.
-        is_told = self._exchange.lookup(service, key, route) is not None
-        if is_told or self._exchange.is_new(owner, now):
+        if self._exchange.lookup(service, key, route) is not None:
             return None
-        return owner
+        teller = self._exchange.who_knows(key)
+        if teller is not None and teller != relayed_from:
+            return teller
+        return None if self._exchange.is_new(owner, now) else owner
 
     def _known(self, service: ids.ServiceId, key: int) -> _flows.Flow | None:
         """Return the flow in the table, if its upstream is alive.
--- a/foxtailworks/placement/_upstreams.py
+++ b/foxtailworks/placement/_upstreams.py
@@ -127,8 +127,8 @@
         """Return whether a set is among the later half of those kept."""
         if view_hash == self.view_hash:
             return True
-        number = self._numbers.get(view_hash, 0)
-        return number > self._count - MAX_VIEWS // 2
+        number = self._numbers.get(view_hash)
+        return number is not None and number > self._count - MAX_VIEWS // 2
 
     def knows_view(self, view_hash: int) -> bool:
         """Return whether the set with this hash is remembered."""
--- a/foxtailworks/placement/_walk.py
+++ b/foxtailworks/placement/_walk.py
@@ -97,6 +97,8 @@
     ) -> bool:
         """Return whether what was told of a flow is still so."""
         upstream = flow.upstream
+        if standing.is_hearsay:
+            return False
         if standing.upstream:
             return standing.upstream == upstream.view.upstream
         if not self._table.is_recent(standing.view):
