--- a/foxtailworks/bench/_broken.py
+++ b/foxtailworks/bench/_broken.py
@@ -81,6 +81,7 @@
         self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._versions: dict[tuple[ids.HostId, str], int] = {}
+        self._opened = 0
         self._dropped = 0
         self._imbalance = 0.0
         self.hosts = {
@@ -122,6 +123,49 @@
             event()
         return self._result()
 
+    def settle(self, seconds: float = 30.0) -> None:
+        """Let time pass without packets."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, event = heapq.heappop(self._events)
+            event()
+        while self.now < end:
+            self.now += TICK_S
+            self.design.tick(self.now)
+
+    def churn(self, rate: float, seconds: float) -> None:
+        """Open new flows at a rate, for a while."""
+        hosts = list(self.hosts)
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TICK_S
+            self.design.tick(self.now)
+            for _ in range(int(rate * TICK_S)):
+                self._opened += 1
+                opened = self._opened
+                caller = ids.Address(
+                    f"10.4.{opened >> 8 & 255}.{opened & 255}",
+                    1 + (opened >> 16),
+                )
+                host = self.rng.choice(hosts)
+                self.design.packet(host, SERVICE, caller, self.now)
+
+    def last_new_after_drain(self) -> float:
+        """Return when a drained upstream got its last new flow."""
+        self.settle()
+        first = next(iter(self.upstreams))
+        started = self.now
+        self.drain()
+        last = 0.0
+        for i in range(2000):
+            self.settle(0.005)
+            caller = ids.Address(f"10.5.{i >> 8}.{i & 255}", 7)
+            host = self.rng.choice(list(self.hosts))
+            found = self.design.packet(host, SERVICE, caller, self.now)
+            if found == first:
+                last = self.now - started
+        return last
+
     def _tick(self) -> None:
         """Let time pass in the design."""
         self.design.tick(self.now)
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -196,6 +196,8 @@
         if owner != relayed_from:
             return owner
         # The owner asks what is known here of the flow.
+        if self._exchange.starting:
+            return owner
         if self._exchange.lookup(service, key, route) is not None:
             return None
         teller = self._exchange.who_knows(key)
