--- a/foxtailworks/placement/tests/test_placer.py
+++ b/foxtailworks/placement/tests/test_placer.py
@@ -250,7 +250,7 @@
 TestFlows.settings = hypothesis.settings(
     derandomize=True,
     deadline=None,
-    max_examples=10,
+    max_examples=40,
     stateful_step_count=14,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
