--- a/foxtailworks/entry/_cores.py
+++ b/foxtailworks/entry/_cores.py
@@ -4,8 +4,10 @@
 import typing
 
 from foxtailworks import contracts
+from foxtailworks.entry import _rosters
 from foxtailworks.entry import _views
 from foxtailworks import ids
+from foxtailworks import limits
 from foxtailworks import membership
 from foxtailworks import placement
 from foxtailworks import requests
@@ -17,6 +19,9 @@
     **upstreams.MESSAGES,
     **placement.MESSAGES,
     **requests.MESSAGES,
+    **limits.MESSAGES,
+    **_rosters.MESSAGES,
+    **contracts.SPREAD_MESSAGES,
 }
 
 
@@ -38,6 +43,9 @@
             incarnation=incarnation,
         )
         self.contracts = contracts.View()
+        self.distribution = contracts.Distribution(
+            cfg.host, cfg.zone, self.contracts, rng, now
+        )
         self.directory = upstreams.Directory(cfg.host, cfg.zone, rng, now)
         seeds = tuple(item for item in cfg.seeds if item != cfg.peer_address)
         self.members = membership.Membership(
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -10,13 +10,18 @@
 from foxtailworks.entry import _cores
 from foxtailworks.entry import _fabric
 from foxtailworks.entry import _flows
+from foxtailworks.entry import _gauges
 from foxtailworks.entry import _keepers
+from foxtailworks.entry import _operators
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _registrations
 from foxtailworks.entry import _requests
+from foxtailworks.entry import _rosters
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks import limits
+from foxtailworks import links
 from foxtailworks import membership
 from foxtailworks import observe
 from foxtailworks import placement
@@ -29,7 +34,8 @@
 TICK_S = 0.05
 DRAIN_STEP_S = 0.05
 LEAVE_MIN_S = 2.0
-LEAVE_MAX_S = 15.0
+LEAVE_MAX_S = 10.0
+HAND_OVER_MAX_S = 4.0
 
 _EVENTS = observe.Events("entry")
 
@@ -53,6 +59,7 @@
         self._cfg = cfg
         self._clock = clock
         self._metrics = metrics
+        self.failed: BaseException | None = None
         self.services = _services.ServiceIndex()
         self.cores = _cores.Cores(cfg, incarnation, rng, clock())
         self._peers = _peers.Peers(
@@ -79,11 +86,19 @@
             rng,
             clock,
         )
+        self._gauges = _gauges.Gauges(self.cores, self.requests, metrics)
+        self._operators = _operators.Operators(
+            self.cores, self.requests, metrics, self.perform, clock
+        )
         self._registrations = _registrations.Registrations(
             self.cores.directory, metrics, self.perform, clock
         )
         self.subscription = _keepers.Subscription(
-            cfg, self.cores.members.me, self.cores.contracts, rng, self._apply
+            cfg,
+            self.cores.members.me,
+            self.cores.contracts,
+            rng,
+            self.take_update,
         )
         self._route_messages()
 
@@ -97,8 +112,13 @@
             upstreams.MESSAGES.values(),
             functools.partial(self._feed, self.cores.directory.on_message),
         )
+        self._peers.on(contracts.SPREAD_MESSAGES.values(), self._take_spread)
+        self._peers.on(
+            _rosters.MESSAGES.values(), self.requests.on_roster_epoch
+        )
         self._peers.on(placement.MESSAGES.values(), self._take_placement)
         self._peers.on(requests.MESSAGES.values(), self.requests.on_message)
+        self._peers.on(limits.MESSAGES.values(), self.requests.gate.on_message)
 
     def _feed(
         self,
@@ -111,6 +131,18 @@
         """Give a message to a core and carry out what it asks for."""
         self.perform(on_message(src, msg, self._clock()))
 
+    def _take_spread(self, src: ids.Address, msg: object) -> None:
+        """Give a message about versions to the distribution."""
+        host = self.cores.views.host_at(src)
+        if host is not None:
+            now = self._clock()
+            self.perform(self.cores.distribution.on_message(host, msg, now))
+
+    def take_update(self, update: contracts.Update) -> None:
+        """Give a keeper's update to the distribution."""
+        now = self._clock()
+        self.perform(self.cores.distribution.on_update(update, now))
+
     def _take_placement(self, src: ids.Address, msg: object) -> None:
         """Give a message to the placer, by the sender's name."""
         host = self.cores.views.host_at(src)
@@ -143,6 +175,18 @@
         if address is not None:
             self._peers.send(address, action.message)
 
+    @_perform.register
+    def _pass_on(self, action: contracts.SendToHost) -> None:
+        """Pass a version on to a host."""
+        address = self.cores.views.address_of(action.to)
+        if address is not None:
+            self._peers.send(address, action.msg)
+
+    @_perform.register
+    def _put_in_force(self, action: contracts.PutInForce) -> None:
+        """Follow a new version of the contracts."""
+        self._apply(action.update)
+
     @_perform.register
     def _host_changed(self, action: membership.HostChanged) -> None:
         """Log a host's change."""
@@ -226,8 +270,20 @@
                 for item in self.services.all()
             }
         )
+        retentions = (
+            item.service.key_retention_s for item in self.services.all()
+        )
+        self.requests.set_retention(float(max(retentions, default=0)))
         if update.roster is not None:
             self.requests.set_roster(update.roster, now)
+            self.cores.placer.set_homes(
+                tuple(
+                    placement.HostView(item.host, item.zone)
+                    for item in update.roster.hosts
+                )
+            )
+        self.requests.update_limits()
+        self._operators.on_version(now)
         _EVENTS.info(
             "version_in_force",
             version=view.version,
@@ -238,8 +294,8 @@
     # Life.
 
     @contextlib.asynccontextmanager
-    async def opened(self) -> abc.AsyncIterator[None]:
-        """Hold all sockets and run the tasks."""
+    async def opened(self, stop: asyncio.Event) -> abc.AsyncIterator[None]:
+        """Hold all sockets and run the tasks; a fault of one sets ``stop``."""
         cfg = self._cfg
         own = cfg.peer_address.ip
         async with contextlib.AsyncExitStack() as stack:
@@ -262,16 +318,37 @@
             self.requests.exchanges.port = await hold(
                 udp.open_port(own, 0, self.requests.exchanges.take)
             )
+            await hold(
+                links.serve(
+                    cfg.operator_address,
+                    _operators.CODEC,
+                    self._operators.serve,
+                    cfg.tls,
+                    self._metrics,
+                )
+            )
             tasks = [
                 asyncio.ensure_future(self._tick()),
                 asyncio.ensure_future(self.subscription.run()),
             ]
+            for task in tasks:
+                task.add_done_callback(
+                    functools.partial(self._on_task_done, stop)
+                )
             try:
                 yield
             finally:
                 for task in tasks:
                     task.cancel()
 
+    def _on_task_done(
+        self, stop: asyncio.Event, task: asyncio.Future[None]
+    ) -> None:
+        """Stop the program when a task ends by a fault."""
+        if not task.cancelled() and task.exception() is not None:
+            self.failed = task.exception()
+            stop.set()
+
     async def _tick(self) -> None:
         """Let time pass in all cores."""
         while True:
@@ -284,8 +361,13 @@
         self.perform(cores.members.on_tick(now))
         if cores.views.refresh(now):
             self.requests.set_alive()
+            cores.distribution.set_peers(
+                {item.id: item.zone for item in cores.members.live()}
+            )
         self.perform(cores.placer.on_tick(now))
+        self.perform(cores.distribution.on_tick(now))
         self.requests.on_tick(now)
+        self._gauges.on_tick(now)
         if self.is_ready():
             self._fabric.on_tick(now)
 
@@ -293,9 +375,14 @@
         """Tell whether packets can be served: contracts and roster known."""
         return self.requests.has_roster()
 
+    def _is_handed_over(self) -> bool:
+        """Tell whether nothing is under way and the others know the rest."""
+        return self.requests.is_idle() and self.cores.placer.left
+
     async def leave(self) -> None:
         """Stop taking new work, hand over, and finish what is under way."""
         start = self._clock()
+        self._operators.leaving = True
         self._fabric.withdraw()
         self.requests.leave()
         self.cores.placer.leave(start)
@@ -303,7 +390,11 @@
         while self._clock() - start < LEAVE_MAX_S:
             await asyncio.sleep(DRAIN_STEP_S)
             spent = self._clock() - start
-            if spent >= LEAVE_MIN_S and self.requests.is_idle():
+            if spent >= LEAVE_MIN_S and self._is_handed_over():
                 break
         self.requests.hand_over(self._clock())
-        await asyncio.sleep(DRAIN_STEP_S)
+        until = self._clock() + HAND_OVER_MAX_S
+        while self._clock() < until:
+            await asyncio.sleep(DRAIN_STEP_S)
+            if self.requests.is_handed_over(self._clock()):
+                break
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -1,10 +1,12 @@
 """The path of requests: read, sort by kind, answer."""
 
 from collections import abc
+import math
 import random
 
 from foxtailworks import coap
 from foxtailworks import contracts
+from foxtailworks.entry import _admission
 from foxtailworks.entry import _choice
 from foxtailworks.entry import _cores
 from foxtailworks.entry import _exchanges
@@ -13,10 +15,13 @@
 from foxtailworks.entry import _keyed
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _replies
+from foxtailworks.entry import _rosters
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks import limits
 from foxtailworks import observe
+from foxtailworks import placement
 from foxtailworks import proxyv2
 from foxtailworks import requests
 
@@ -39,6 +44,7 @@
         clock: abc.Callable[[], float],
     ) -> None:
         self._cores = cores
+        self._services = services
         self._peers = peers
         self._fabric = fabric
         self._metrics = metrics
@@ -53,15 +59,41 @@
         self._replies = _replies.Replies(
             fabric, metrics, self.histograms, rng, clock
         )
-        self._choice = _choice.Choice(cores.directory, services, rng, clock)
+        zone = cores.members.me.zone
+        self._choice = _choice.Choice(
+            cores.directory, services, zone, rng, clock
+        )
+        self.gate = _admission.Gate(
+            limits.Shares(cores.members.me.id, clock(), False, rng),
+            cores.views,
+            peers,
+            metrics,
+            rng,
+            clock,
+            self._admitted,
+            self._rejected,
+        )
+        self._replies.on_done = self.gate.done
+        self._serial = 0
+        self._bodies = requests.Bodies(cores.members.me.id)
         self._idempotent = _idempotent.IdempotentPath(
+            requests.IdempotentRequests(
+                cores.members.me.id, incarnation, self._choice, rng
+            ),
+            self._bodies,
             self._choice,
             cores.directory,
+            cores.views,
             self.exchanges,
+            peers,
             self._replies,
             clock,
         )
+        self.in_flight = self._choice.in_flight
+        self._retention_s = RETENTION_S
         self._groups: requests.KeyGroups | None = None
+        self._recovery: requests.Recovery | None = None
+        self._rosters: _rosters.Rosters | None = None
         self._coordinator: requests.Coordinator | None = None
         self._keyed: _keyed.KeyedPath | None = None
 
@@ -75,19 +107,25 @@
         """Take in a roster; the first one makes the coordinator."""
         hosts = tuple((item.host, item.zone) for item in roster.hosts)
         current = requests.Roster(int(roster.epoch), hosts)
-        if self._groups is None:
-            self._start(current)
-        else:
-            self._groups.change(now, current)
+        mine = roster.find(self._cores.members.me.id)
+        if self._rosters is not None:
+            self._rosters.change(current, now)
+        elif mine is not None:
+            self._start(current, mine.incarnation == self._incarnation)
 
-    def _start(self, roster: requests.Roster) -> None:
+    def _start(self, roster: requests.Roster, fresh: bool) -> None:
         """Make the coordinator and this host's memory of claims."""
         me = self._cores.members.me
-        groups = requests.KeyGroups(roster, RETENTION_S)
-        recovery = requests.Recovery(
-            self._started_at, RETENTION_S, fresh=False
+        retention_s = self._retention_s
+        groups = requests.KeyGroups(roster, retention_s)
+        recovery = requests.Recovery(self._started_at, retention_s, fresh)
+        self._rosters = _rosters.Rosters(
+            groups, self._cores.views, self._peers
+        )
+        self._recovery = recovery
+        store = requests.ClaimStore(
+            me.id, groups, recovery, incarnation=self._incarnation
         )
-        store = requests.ClaimStore(me.id, groups, recovery)
         self._groups = groups
         self._coordinator = requests.Coordinator(
             me.id, self._incarnation, groups, store, self._choice, self._rng
@@ -96,22 +134,49 @@
             self._coordinator,
             self._cores.views,
             self._cores.directory,
+            self._choice,
             self.exchanges,
             self._peers,
             self._replies,
             self._clock,
+            self.gate.offer,
         )
         self.set_alive()
 
+    def set_retention(self, seconds: float) -> None:
+        """Take in the longest retention of the contracts in force."""
+        self._retention_s = max(self._retention_s, seconds)
+        if self._groups is not None and self._recovery is not None:
+            self._groups.set_retention(self._retention_s)
+            self._recovery.set_retention(self._retention_s)
+
+    def on_roster_epoch(
+        self, src: ids.Address, msg: _rosters.RosterEpoch
+    ) -> None:
+        """Note which roster another host goes by."""
+        if self._rosters is not None:
+            self._rosters.on_message(src, msg, self._clock())
+
+    def update_limits(self) -> None:
+        """Derive this host's shares anew from contracts and rosters."""
+        me = self._cores.members.me.id
+        divisor = self._groups.share_divisor(me) if self._groups else 0
+        self.gate.set_limits(self._services.all(), divisor)
+
     def set_alive(self) -> None:
         """Take in which hosts are held to be live."""
+        live = self._cores.members.live()
+        views = (placement.HostView(item.id, item.zone) for item in live)
+        self._choice.set_hosts(self._cores.members.me.id, views)
+        names = [item.id for item in live]
+        self._bodies.set_alive(names)
+        self.gate.set_alive(names)
         if self._coordinator is not None:
-            self._coordinator.set_alive(
-                [item.id for item in self._cores.members.live()]
-            )
+            self._coordinator.set_alive(names)
 
     def upstream_gone(self, upstream: ids.UpstreamId) -> None:
         """Give up on what was placed on an upstream that has ended."""
+        self._idempotent.upstream_gone(upstream)
         if self._coordinator is not None and self._keyed is not None:
             now = self._clock()
             self._keyed.perform(self._coordinator.upstream_gone(now, upstream))
@@ -140,12 +205,27 @@
             self._refuse_malformed(packet)
             return
         now = self._clock()
-        call = _make_call(route, packet, req, now)
+        self._serial += 1
+        call = _make_call(route, packet, req, now, self._serial)
         if req.method.idempotent:
-            self._idempotent.take(call, now)
+            self.gate.offer(call)
         elif self._keyed is not None:
             self._keyed.take(call, now)
 
+    def _admitted(self, call: _replies.Call) -> None:
+        """Go on with a call that was let in."""
+        if call.req.method.idempotent:
+            self._idempotent.take(call, self._clock())
+        elif self._keyed is not None:
+            self._keyed.admitted(call)
+
+    def _rejected(self, call: _replies.Call, retry_after_s: float) -> None:
+        """Refuse a call that wasn't let in."""
+        if call.req.method.idempotent:
+            self._replies.not_run(call, math.ceil(retry_after_s))
+        elif self._keyed is not None:
+            self._keyed.rejected(call, retry_after_s)
+
     def _refuse_malformed(self, packet: proxyv2.Packet) -> None:
         """Answer a request that can't be read."""
         self._metrics.count(observe.Counter.REQUESTS_MALFORMED)
@@ -154,15 +234,31 @@
             self._fabric.answer(packet.target, packet.source, answer)
 
     def on_message(self, src: ids.Address, msg: object) -> None:
-        """Take another host's message about keyed requests."""
-        if self._keyed is not None:
+        """Take another host's message about requests."""
+        if isinstance(msg, requests.BodyBind | requests.BodyBound):
+            self._idempotent.on_message(src, msg)
+        elif self._keyed is not None:
             self._keyed.on_message(src, msg)
 
     def on_tick(self, now: float) -> None:
         """Let time pass."""
         self.exchanges.on_tick(now)
-        if self._keyed is not None:
+        self.gate.on_tick(now)
+        self._idempotent.on_tick(now)
+        if self._keyed is not None and self._rosters is not None:
             self._keyed.on_tick(now)
+            if self._rosters.on_tick(now, self._others()):
+                self.update_limits()
+
+    def _others(self) -> tuple[ids.HostId, ...]:
+        """Return the other live hosts."""
+        members = self._cores.members
+        live = (item.id for item in members.live())
+        return tuple(item for item in live if item != members.me.id)
+
+    def retries(self) -> int:
+        """Return how often a repeatable request was placed again."""
+        return self._idempotent.retries()
 
     # Leaving.
 
@@ -174,19 +270,28 @@
     def is_idle(self) -> bool:
         """Tell whether nothing is under way."""
         keyed = self._coordinator
-        return len(self.exchanges) == 0 and (keyed is None or keyed.is_idle())
+        if len(self.exchanges) or not self._idempotent.is_idle():
+            return False
+        return keyed is None or keyed.is_idle
 
     def hand_over(self, now: float) -> None:
         """Give this host's claims to the others."""
         if self._coordinator is not None and self._keyed is not None:
             self._keyed.perform(self._coordinator.hand_over(now))
 
+    def is_handed_over(self, now: float) -> bool:
+        """Tell whether the others have this host's claims."""
+        return self._coordinator is None or self._coordinator.is_handed_over(
+            now
+        )
+
 
 def _make_call(
     route: _services.Route,
     packet: proxyv2.Packet,
     req: coap.Request,
     now: float,
+    number: int,
 ) -> _replies.Call:
     """Return a call with its class and deadline."""
     kind = route.class_of(req)
@@ -198,4 +303,5 @@
         kind=kind,
         began=now,
         deadline=now + deadline_ms / MS_PER_S,
+        number=number,
     )
--- a/foxtailworks/membership/_core.py
+++ b/foxtailworks/membership/_core.py
@@ -149,7 +149,7 @@
         yield from self._claims.on_tick(now)
         yield from self._condemn(now)
         yield from self._ask_others(now)
-        if now >= self._next_probe:
+        if now >= self._next_probe and not self._detector.is_waiting(now):
             self._next_probe = now + self._cfg.probe_interval_s
             yield from self._probe(now)
             yield from self._probe_zones(now)
@@ -160,6 +160,7 @@
         if now >= self._next_gossip:
             self._next_gossip = now + self._cfg.gossip_interval_s
             yield from self._news.gossip(now)
+            yield from self._catch_up(now)
 
     def _restart(self, now: float) -> None:
         """Draw no conclusion from silence while this host was stopped."""
@@ -198,6 +199,13 @@
         if picked is not None:
             yield self._news.ping(*picked, now)
 
+    def _catch_up(self, now: float) -> abc.Iterator[object]:
+        """While young, meet more hosts whose tables to compare with."""
+        others = [host for host in self.live() if host.id != self.me.id]
+        if others and self._claims.is_young(now):
+            host = self._rng.choice(others)
+            yield self._news.ping(host, self._detector.next_sequence(), now)
+
     def _probe_zones(self, now: float) -> abc.Iterator[object]:
         """As a relay, probe one host of each other zone; report."""
         if not self._claims.is_relay:
@@ -251,6 +259,7 @@
         if self._leaving:
             return iter(())
         self._leaving = True
+        self._zones.leave()
         self._claims.me = self._claims.me.with_changes(state=_State.LEFT)
         actions = list(self._claims.claim(self._claims.me, now))
         actions += self._news.farewell()
@@ -275,7 +284,7 @@
         self, msg: _messages.Ping, src: ids.Address, now: float
     ) -> abc.Iterator[object]:
         """Answer a ping."""
-        yield from self._hear(msg.sender, msg.incarnation, src, now)
+        yield from self._hear(msg.sender, now)
         yield from self._claims.take_news(msg.items, msg.sender, now)
         sender = self._hosts.get(msg.sender)
         news = self._news.for_probe(sender, now) if sender is not None else ()
@@ -293,14 +302,16 @@
         self, msg: _messages.Ack, src: ids.Address, now: float
     ) -> abc.Iterator[object]:
         """Take an answer; compare tables with the one who sent it."""
-        yield from self._hear(msg.sender, msg.incarnation, src, now)
+        yield from self._hear(msg.sender, now)
         self._detector.answered(msg.sequence)
         relayed = self._detector.relayed(msg.sequence)
         if relayed is not None:
             reply = _messages.PingReply(self._claims.me.id, relayed.sequence)
             yield _events.Send(relayed.asker, reply)
         yield from self._claims.take_news(msg.items, msg.sender, now)
-        yield from self._news.bulk(src, self._sync.compare(msg.roots, now))
+        yield from self._news.bulk(
+            src, self._sync.compare(msg.roots, self._claims.is_young(now), now)
+        )
 
     @_receive.register
     def _on_ping_request(
@@ -348,6 +359,15 @@
         yield from self._claims.hear(now)
         yield from self._claims.take_news(msg.items, msg.sender, now)
 
+    @_receive.register
+    def _on_packed_gossip(
+        self, msg: _messages.PackedGossip, src: ids.Address, now: float
+    ) -> abc.Iterator[object]:
+        """Take much news in."""
+        yield from self._claims.hear(now)
+        items = self._claims.unpack(msg.packed)
+        yield from self._claims.take_news(items, msg.sender, now)
+
     @_receive.register
     def _on_buckets(
         self, msg: _messages.Buckets, src: ids.Address, now: float
@@ -367,28 +387,12 @@
     ) -> abc.Iterator[object]:
         """Take records of differing buckets in."""
         yield from self._claims.hear(now)
-        try:
-            items = _sync.unpack(msg.packed)
-        except errors.FoxtailError:
-            self._claims.malformed += 1
-            return
+        items = self._claims.unpack(msg.packed)
         yield from self._claims.take_records(items, msg.sender, now)
 
-    def _hear(
-        self,
-        sender: ids.HostId,
-        incarnation: ids.Incarnation,
-        src: ids.Address,
-        now: float,
-    ) -> abc.Iterator[object]:
-        """Note a live sender; tell one that is held dead."""
+    def _hear(self, sender: ids.HostId, now: float) -> abc.Iterator[object]:
+        """Note a host that is heard."""
         yield from self._claims.hear(now)
         host = self._hosts.get(sender)
-        if host is None:
-            return
-        if host.zone != self._claims.me.zone:
+        if host is not None and host.zone != self._claims.me.zone:
             self._zones.note_heard(host.zone, now)
-        if not host.is_live and incarnation <= host.incarnation:
-            items = (self._hosts.item_of(host.id),)
-            gossip = _messages.Gossip(self._claims.me.id, items)
-            yield _events.Send(src, gossip)
--- a/foxtailworks/requests/__init__.py
+++ b/foxtailworks/requests/__init__.py
@@ -25,17 +25,35 @@
 from foxtailworks.requests._actions import Refuse
 from foxtailworks.requests._actions import Send
 from foxtailworks.requests._actions import Unknown
+from foxtailworks.requests._bodies import Bodies
+from foxtailworks.requests._bodies import body_id
+from foxtailworks.requests._bodies import Bound
+from foxtailworks.requests._budget import RetryBudget
 from foxtailworks.requests._coordinator import Coordinator
 from foxtailworks.requests._entry import State
 from foxtailworks.requests._groups import choose_group
 from foxtailworks.requests._groups import Group
 from foxtailworks.requests._groups import KeyGroups
 from foxtailworks.requests._groups import Roster
+from foxtailworks.requests._idempotent import CancelTry
+from foxtailworks.requests._idempotent import IdempotentRequests
+from foxtailworks.requests._idempotent import PlaceTry
+from foxtailworks.requests._idempotent import Repeatable
+from foxtailworks.requests._idempotent import TryToken
 from foxtailworks.requests._messages import AttemptId
+from foxtailworks.requests._messages import BodyBind
+from foxtailworks.requests._messages import BodyBound
+from foxtailworks.requests._messages import Claim
 from foxtailworks.requests._messages import ClaimId
+from foxtailworks.requests._messages import HandOver
+from foxtailworks.requests._messages import Left
 from foxtailworks.requests._messages import make_codec
 from foxtailworks.requests._messages import Message
 from foxtailworks.requests._messages import MESSAGES
+from foxtailworks.requests._messages import Outcome
+from foxtailworks.requests._messages import PageRequest
+from foxtailworks.requests._messages import Placement
+from foxtailworks.requests._messages import RecordOutcome
 from foxtailworks.requests._recovery import Recovery
 from foxtailworks.requests._store import ClaimStore
 
@@ -45,22 +63,40 @@
     "Answer",
     "Arrival",
     "AttemptId",
+    "Bodies",
+    "BodyBind",
+    "BodyBound",
+    "Bound",
     "Cancel",
     "CancelResult",
+    "CancelTry",
+    "Claim",
     "ClaimId",
     "ClaimStore",
     "Coordinator",
     "Group",
+    "HandOver",
+    "IdempotentRequests",
     "KeyGroups",
+    "Left",
     "Message",
+    "Outcome",
+    "PageRequest",
     "PassTo",
     "Place",
+    "PlaceTry",
+    "Placement",
+    "RecordOutcome",
     "Recovery",
     "Refuse",
+    "Repeatable",
+    "RetryBudget",
     "Roster",
     "Send",
     "State",
+    "TryToken",
     "Unknown",
+    "body_id",
     "choose_group",
     "make_codec",
 ]
--- a/foxtailworks/requests/_groups.py
+++ b/foxtailworks/requests/_groups.py
@@ -12,6 +12,9 @@
 GROUP_SIZE = 3
 MAX_ACTIVE_ROSTERS = 4
 MAX_CACHED_KEYS = 4096
+# What is kept for a retention is kept longer by this: a retry may sit so
+# long in the socket of a host that is frozen.
+KEEP_SLACK_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,16 +80,27 @@
 
     :param roster: the roster in force at the start
     :param retention_s: the longest retention of any contract
+    :param older: rosters that still count elsewhere, oldest first; a host
+        that starts takes them from another host's :attr:`rosters`
     """
 
-    def __init__(self, roster: Roster, retention_s: float) -> None:
+    def __init__(
+        self,
+        roster: Roster,
+        retention_s: float,
+        older: tuple[Roster, ...] = (),
+    ) -> None:
         self._retention_s = retention_s
-        self._active = [_Active(roster)]
+        self._active = [_Active(item) for item in (*older, roster)]
         self._adopted: dict[ids.HostId, int] = {}
         self._cache: collections.OrderedDict[
             ids.RequestKey, tuple[Group, ...]
         ] = collections.OrderedDict()
 
+    def set_retention(self, seconds: float) -> None:
+        """Take in a longer retention; a shorter one changes nothing."""
+        self._retention_s = max(self._retention_s, seconds)
+
     @property
     def epoch(self) -> int:
         """Return the epoch of the newest roster."""
@@ -97,6 +111,22 @@
         """Return the newest roster."""
         return self._active[-1].roster
 
+    @property
+    def rosters(self) -> tuple[Roster, ...]:
+        """Return every roster that counts, oldest first."""
+        return tuple(item.roster for item in self._active)
+
+    def divisor(self, host: ids.HostId) -> int:
+        """Return by how many a limit is divided for ``host``'s share.
+
+        It is 0 for a host that isn't in every roster that counts: the
+        others may still divide the limit among themselves alone.
+        """
+        pools = [{h for h, _ in r.hosts} for r in self.rosters]
+        if not all(host in pool for pool in pools):
+            return 0
+        return len(set[ids.HostId]().union(*pools))
+
     @property
     def is_joint(self) -> bool:
         """Return whether an older roster still counts."""
@@ -161,6 +191,20 @@
             )
         )
 
+    def share_divisor(self, host: ids.HostId) -> int:
+        """Return by how many hosts a limit is divided at ``host``.
+
+        While rosters overlap it is all hosts of any, and a host that isn't
+        in each has no share of its own (0): so shares sum up to the limit
+        at most, whichever roster each host goes by.
+        """
+        is_in_all = all(
+            any(name == host for name, _ in item.roster.hosts)
+            for item in self._active
+        )
+        names = {name for name, _ in self._all_hosts()}
+        return len(names) if is_in_all else 0
+
     def check(self) -> None:
         """Assert that rosters stand in order of their epochs."""
         epochs = [item.roster.epoch for item in self._active]
@@ -191,4 +235,5 @@
         """Return whether what the roster alone granted has expired."""
         if item.replaced_at is None:
             return False
-        return now >= item.replaced_at + self._retention_s
+        kept_s = self._retention_s + KEEP_SLACK_S
+        return now >= item.replaced_at + kept_s
--- a/foxtailworks/upstreams/_candidates.py
+++ b/foxtailworks/upstreams/_candidates.py
@@ -6,6 +6,7 @@
 
 from foxtailworks import ids
 from foxtailworks.upstreams import _config
+from foxtailworks.upstreams import _doubts
 from foxtailworks.upstreams import _health
 from foxtailworks.upstreams import _record
 
@@ -36,14 +37,20 @@
     """Computes candidates from records and health."""
 
     def __init__(
-        self, zone: ids.ZoneId, rng: random.Random, config: _config.Config
+        self,
+        zone: ids.ZoneId,
+        rng: random.Random,
+        config: _config.Config,
+        doubts: _doubts.Doubts,
     ) -> None:
         self._zone = zone
         self._rng = rng
         self._cfg = config
+        self._doubts = doubts
         self._cached: dict[_record.ServiceKey, _Cached] = {}
         self._health: dict[ids.UpstreamId, _health.Health] = {}
         self.version = 0
+        self.records_version = 0
 
     def health(self, upstream_id: ids.UpstreamId) -> _health.Health | None:
         """Return what was seen of an upstream."""
@@ -60,17 +67,20 @@
     def drop(self, upstream: _record.Upstream) -> None:
         """Forget what was seen of an upstream."""
         self._health.pop(upstream.id, None)
+        self._doubts.drop(upstream.id)
         self.invalidate(upstream.key)
 
     def invalidate(self, key: _record.ServiceKey) -> None:
         """Compute the candidates of a service anew when they're asked for."""
         self._cached.pop(key, None)
         self.version += 1
+        self.records_version += 1
 
     def invalidate_all(self) -> None:
         """Compute all candidates anew when they're asked for."""
         self._cached.clear()
         self.version += 1
+        self.records_version += 1
 
     def cached(
         self, key: _record.ServiceKey, now: float
@@ -122,10 +132,12 @@
         now: float,
     ) -> Candidate:
         """Return one candidate with its effective weight."""
+        assert upstream.takes_work, upstream
         nominal = upstream.slots * upstream.weight
+        doubts = self._doubts.count(upstream.id, health.answered_at)
         return Candidate(
             upstream.id,
             upstream,
-            nominal * health.share(median_ms, now),
+            nominal * health.share(median_ms, doubts, now),
             upstream.zone == self._zone,
         )
