--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -13,7 +13,7 @@
 from foxtailworks.placement import _types
 from foxtailworks.placement import _upstreams
 
-MAX_HOPS = 3
+MAX_HOPS = 5
 """A packet relayed so often is placed where it is."""
 DRAIN_GRACE_S = 3.0
 """A draining upstream may get new flows for so long."""
@@ -71,6 +71,7 @@
         )
         self._hosts: tuple[_types.HostView, ...] = ()
         self._leaving = False
+        self._alone_until = now + _hosts.START_S
         self.counts = PlacerCounts()
         """Counters."""
 
@@ -162,9 +163,11 @@
         hops: int,
     ) -> _types.Decision:
         """Decide for a flow that isn't in the table or is in doubt."""
+        if not self.is_ready(now):
+            return _types.Refuse(errors.Code.OWNER_STARTING)
         route = self._ring.route(_hashing.host_slot(key))
         known = self._known(service, key)
-        to = self._next_hop(key, route, known, relayed_from, now)
+        to = self._next_hop(service, key, route, known, relayed_from, now)
         if to is not None and hops < MAX_HOPS:
             self.counts.relayed += 1
             return _types.RelayTo(to, hops + 1)
@@ -173,7 +176,7 @@
             return _types.Refuse(errors.Code.OWNER_STARTING)
         if known is None:
             return self._place(service, key, route, now)
-        told = self._told(service, key)
+        told = self._exchange.lookup(service, key, route)
         if told is not None and known.heard < self._ring.doubt_before:
             known.upstream = told
         known.heard = now
@@ -181,6 +184,7 @@
 
     def _next_hop(
         self,
+        service: ids.ServiceId,
         key: int,
         route: _hosts.Route,
         known: _flows.Flow | None,
@@ -191,6 +195,8 @@
         owner = route.owner
         if owner == self._me:
             ask = self._exchange.whom_to_ask(route, now)
+            if ask is None and known is None:
+                return self._exchange.who_knows(key)
             if ask != relayed_from:
                 return ask
             # A host that starts asks also the one that relayed to it.
@@ -200,10 +206,14 @@
         if owner != relayed_from:
             return owner
         # The owner asks what is known here of the flow.
-        is_told = self._exchange.lookup(key) is not None
-        if is_told or self._exchange.is_new(owner, now):
+        if self._exchange.starting:
+            return owner
+        if self._exchange.lookup(service, key, route) is not None:
             return None
-        return owner
+        teller = self._exchange.who_knows(key)
+        if teller is not None and teller != relayed_from:
+            return teller
+        return None if self._exchange.is_new(owner, now) else owner
 
     def _known(self, service: ids.ServiceId, key: int) -> _flows.Flow | None:
         """Return the flow in the table, if its upstream is alive.
@@ -221,16 +231,6 @@
         flow.upstream = upstream
         return flow
 
-    def _told(
-        self, service: ids.ServiceId, key: int
-    ) -> _upstreams.Upstream | None:
-        """Return where another host said that a flow stands."""
-        told = self._exchange.lookup(key)
-        upstream = self._book.get(told) if told is not None else None
-        if upstream is None or upstream.view.service != service:
-            return None
-        return upstream
-
     def _place(
         self,
         service: ids.ServiceId,
@@ -265,7 +265,7 @@
         now: float,
     ) -> _upstreams.Upstream | None:
         """Return where a flow stands that this host doesn't know."""
-        upstream = self._told(service, key)
+        upstream = self._exchange.lookup(service, key, route)
         if upstream is not None:
             return upstream
         placed_by = self._exchange.base_view(route)
@@ -295,6 +295,14 @@
             return False
         return view.weight > 0 or now - upstream.drained_at <= DRAIN_GRACE_S
 
+    def is_ready(self, now: float) -> bool:
+        """Return whether packets may be sent here.
+
+        A host that has just started and knows no other would take all flows
+        for its own.
+        """
+        return bool(self._ring.peers()) or now >= self._alone_until
+
     # Leaving.
 
     def leave(self, now: float) -> None:
