Give a retransmission its message's place; gate flows; count jobs

A retransmission that joins its message took a place of its own among what is in flight, and only one answer came for both: each leaked one place of the host's share. Ruled out: the limit itself (30/s of 4,000/s) and a leaving host (refusals went on for the whole run). Change: the place is named by the attempt, which a message and its retransmissions share. Also new flows pass a gate by this host's shares (established ones, and any that may be old, never do), keyed requests are counted as jobs once, PUT and DELETE are never called not run, and the operator's view shows flows and load.

--- a/foxtailworks/entry/_admission.py
+++ b/foxtailworks/entry/_admission.py
@@ -83,7 +83,9 @@
         if admission is None:
             return
         ticket = limits.Ticket(
-            number=call.number,
+            # A retransmission takes the place of its message, so that the
+            # one answer to both ends what both have taken.
+            number=call.attempt,
             priority=call.kind.priority,
             deadline_at=call.deadline,
             handle=call,
@@ -99,7 +101,7 @@
             now = self._clock()
             if is_good:
                 admission.took(now - call.began)
-            self._carry_out(admission.done(now, call.number, is_good))
+            self._carry_out(admission.done(now, call.attempt, is_good))
 
     def on_tick(self, now: float) -> None:
         """Let time pass."""
--- a/foxtailworks/entry/_idempotent.py
+++ b/foxtailworks/entry/_idempotent.py
@@ -82,7 +82,7 @@
         """Give a request to the core, bound to an upstream or free."""
         now = self._clock()
         arrival = requests.Repeatable(
-            attempt=call.attempt(),
+            attempt=call.attempt,
             service=call.route.key,
             remaining_ms=call.remaining_ms(now),
             handle=call,
--- a/foxtailworks/entry/_keyed.py
+++ b/foxtailworks/entry/_keyed.py
@@ -244,7 +244,7 @@
     """Return a call as the coordinator takes it."""
     return requests.Arrival(
         key=call.req.request_key(call.route.key, call.packet.source),
-        attempt=call.attempt(),
+        attempt=call.attempt,
         service=call.route.key,
         remaining_ms=call.remaining_ms(now),
         handle=call,
--- a/foxtailworks/entry/_operators.py
+++ b/foxtailworks/entry/_operators.py
@@ -89,11 +89,7 @@
             in_flight=len(self._path.exchanges),
             peers=tuple(self._peers(now)),
             upstreams=tuple(self._upstreams()),
-            counters=tuple(
-                observe.CounterLine(name, value)
-                for name, value in sorted(totals.items())
-                if value
-            ),
+            counters=(*self._counters(totals), *self._jobs()),
         )
 
     def _peers(self, now: float) -> abc.Iterator[observe.PeerLine]:
@@ -105,8 +101,22 @@
                     host.id, host.zone, _PEER_STATES[host.state], 0.0
                 )
 
+    def _counters(
+        self, totals: dict[str, int]
+    ) -> abc.Iterator[observe.CounterLine]:
+        """Yield the counters that aren't zero."""
+        for name, value in sorted(totals.items()):
+            if value:
+                yield observe.CounterLine(name, value)
+
+    def _jobs(self) -> abc.Iterator[observe.CounterLine]:
+        """Yield the jobs counted for each customer."""
+        for customer, value in self._path.jobs().items():
+            yield observe.CounterLine(f"jobs.placed.{customer}", value)
+
     def _upstreams(self) -> abc.Iterator[observe.UpstreamLine]:
         """Yield the open upstreams as this host sees them."""
+        flows = self._cores.placer.flows_by_upstream()
         directory = self._cores.directory
         open_ones = (item for item in directory.all() if item.is_open)
         for item, _ in zip(open_ones, range(observe.MAX_LINES)):
@@ -116,8 +126,8 @@
                 service=item.service,
                 zone=item.zone,
                 state=self._readiness(item),
-                load=0.0,
-                flows=0,
+                load=self._path.load(item),
+                flows=flows[item.id],
                 in_flight=self._path.in_flight(item.id),
             )
 
@@ -148,4 +158,5 @@
                 msg.ask, int(code), "this host doesn't know it", 0
             )
         self._perform(directory.drain(msg.upstream, self._clock()))
-        return observe.DrainAnswer(msg.ask, int(errors.Code.OK), "", 0)
+        flows = self._cores.placer.flows_by_upstream()[msg.upstream]
+        return observe.DrainAnswer(msg.ask, int(errors.Code.OK), "", flows)
--- a/foxtailworks/entry/_replies.py
+++ b/foxtailworks/entry/_replies.py
@@ -33,18 +33,13 @@
     """When it came to this host."""
     deadline: float
     """When the caller stops waiting."""
-    number: int
-    """Names it on this host."""
+    attempt: requests.AttemptId
+    """Shared by the message and its retransmissions only."""
 
     def remaining_ms(self, now: float) -> int:
         """Return the time until the deadline, in milliseconds."""
         return int((self.deadline - now) * 1000)
 
-    def attempt(self) -> requests.AttemptId:
-        """Return what only retransmissions of its message share."""
-        digest = self.req.attempt_id(self.packet.source)
-        return requests.AttemptId(int.from_bytes(digest[:8], "big"))
-
 
 class Replies:
     """Answers calls through the fabric."""
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -11,6 +11,7 @@
 from foxtailworks.entry import _cores
 from foxtailworks.entry import _exchanges
 from foxtailworks.entry import _fabric
+from foxtailworks.entry import _flow_gates
 from foxtailworks.entry import _idempotent
 from foxtailworks.entry import _keyed
 from foxtailworks.entry import _peers
@@ -24,9 +25,11 @@
 from foxtailworks import placement
 from foxtailworks import proxyv2
 from foxtailworks import requests
+from foxtailworks import upstreams
 
 RETENTION_S = 300.0
 MS_PER_S = 1000
+ATTEMPT_BYTES = 8
 
 
 class RequestPath:
@@ -63,8 +66,11 @@
         self._choice = _choice.Choice(
             cores.directory, services, zone, rng, clock
         )
+        shares = limits.Shares(cores.members.me.id, clock(), False, rng)
+        self.flow_gates = _flow_gates.FlowGates(cores.placer, shares, metrics)
+        self._jobs = limits.Jobs()
         self.gate = _admission.Gate(
-            limits.Shares(cores.members.me.id, clock(), False, rng),
+            shares,
             cores.views,
             peers,
             metrics,
@@ -74,7 +80,6 @@
             self._rejected,
         )
         self._replies.on_done = self.gate.done
-        self._serial = 0
         self._bodies = requests.Bodies(cores.members.me.id)
         self._idempotent = _idempotent.IdempotentPath(
             requests.IdempotentRequests(
@@ -186,6 +191,7 @@
         me = self._cores.members.me.id
         divisor = self._groups.share_divisor(me) if self._groups else 0
         self.gate.set_limits(self._services.all(), divisor)
+        self.flow_gates.set_routes(self._services.all())
 
     def set_alive(self) -> None:
         """Take in which hosts are held to be live."""
@@ -229,8 +235,7 @@
             self._refuse_malformed(packet)
             return
         now = self._clock()
-        self._serial += 1
-        call = _make_call(route, packet, req, now, self._serial)
+        call = _make_call(route, packet, req, now)
         if req.method.idempotent:
             self.gate.offer(call)
         elif self._keyed is not None:
@@ -245,8 +250,11 @@
 
     def _rejected(self, call: _replies.Call, retry_after_s: float) -> None:
         """Refuse a call that wasn't let in."""
-        if call.req.method.idempotent:
+        if call.req.method is coap.Method.GET:
             self._replies.not_run(call, math.ceil(retry_after_s))
+        elif call.req.method.idempotent:
+            # A copy may run at another host, and it changes something.
+            self._replies.unknown(call, math.ceil(retry_after_s))
         elif self._keyed is not None:
             self._keyed.rejected(call, retry_after_s)
 
@@ -269,12 +277,34 @@
         self._start_if_told(now)
         self.exchanges.on_tick(now)
         self.gate.on_tick(now)
+        self.flow_gates.on_tick(now)
+        self._count_jobs()
         self._idempotent.on_tick(now)
         if self._keyed is not None and self._rosters is not None:
             self._keyed.on_tick(now)
             if self._rosters.on_tick(now, self._others()):
                 self.update_limits()
 
+    def _count_jobs(self) -> None:
+        """Count keyed requests that ran, once each for each customer."""
+        if self._coordinator is None:
+            return
+        for ran in self._coordinator.drain_ran():
+            route = self._services.get(ran.service)
+            if route is not None and self._jobs.placed(
+                route.customer, ran.claim
+            ):
+                self._metrics.count(observe.Counter.JOBS_PLACED)
+
+    def load(self, item: upstreams.Upstream) -> float:
+        """Return the share of an upstream's slots that this host uses."""
+        return self.in_flight(item.id) / item.slots
+
+    def jobs(self) -> dict[ids.CustomerId, int]:
+        """Return the jobs that this host has counted for each customer."""
+        customers = {item.customer for item in self._services.all()}
+        return {item: self._jobs.total(item) for item in sorted(customers)}
+
     def _others(self) -> tuple[ids.HostId, ...]:
         """Return the other live hosts."""
         members = self._cores.members
@@ -316,11 +346,11 @@
     packet: proxyv2.Packet,
     req: coap.Request,
     now: float,
-    number: int,
 ) -> _replies.Call:
     """Return a call with its class and deadline."""
     kind = route.class_of(req)
     deadline_ms = req.deadline_ms or kind.deadline_ms
+    attempt = req.attempt_id(packet.source)[:ATTEMPT_BYTES]
     return _replies.Call(
         route=route,
         packet=packet,
@@ -328,5 +358,5 @@
         kind=kind,
         began=now,
         deadline=now + deadline_ms / MS_PER_S,
-        number=number,
+        attempt=requests.AttemptId(int.from_bytes(attempt, "big")),
     )
--- a/foxtailworks/keeper/tests/test_agreement_machine.py
+++ b/foxtailworks/keeper/tests/test_agreement_machine.py
@@ -2,7 +2,7 @@
 
 import errno
 
-from hypothesis import settings
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -121,7 +121,7 @@
         self.cluster.heal()
 
 
-Keepers.TestCase.settings = settings(
+Keepers.TestCase.settings = hypothesis.settings(
     derandomize=True,
     deadline=None,
     max_examples=20,
--- a/foxtailworks/observe/_messages.py
+++ b/foxtailworks/observe/_messages.py
@@ -67,7 +67,7 @@
     state: Readiness
     """How much new work it gets."""
     load: float
-    """Share of its slots that it last reported busy; 1 is full."""
+    """Share of its slots that requests of this host use; 1 is full."""
     flows: int
     """Open flows that this host placed on it."""
     in_flight: int
--- a/foxtailworks/observe/_names.py
+++ b/foxtailworks/observe/_names.py
@@ -35,6 +35,7 @@
     REQUESTS_RETRIED = "requests.retried", "Second tries of the host."
     REQUESTS_REPEATED = "requests.repeated", "Repeats of a known key."
     ANSWERS_LATE = "answers.late", "Answers after their request ended."
+    JOBS_PLACED = "jobs.placed", "Keyed requests that ran, counted once."
     LIMITS_REFUSED = "limits.refused", "Work over a contract's limit."
     PEERS_RECEIVED = "peers.received", "Datagrams from entry hosts."
     PEERS_SENT = "peers.sent", "Datagrams to entry hosts."
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -1,5 +1,6 @@
 """Decides where each packet of a flow goes; hands over what it knows."""
 
+import collections
 from collections import abc
 import dataclasses
 import typing
@@ -35,6 +36,11 @@
     """Packets passed to another host."""
 
 
+def _admit_all(service: ids.ServiceId, now: float) -> bool:
+    """Refuse no flow."""
+    return True
+
+
 class Placer:
     """Places flows; one for each entry host.
 
@@ -72,9 +78,16 @@
         self._hosts: tuple[_types.HostView, ...] = ()
         self._leaving = False
         self._alone_until = now + _hosts.START_S
+        self._admits: abc.Callable[[ids.ServiceId, float], bool] = _admit_all
         self.counts = PlacerCounts()
         """Counters."""
 
+    def set_admission(
+        self, admits: abc.Callable[[ids.ServiceId, float], bool]
+    ) -> None:
+        """Have ``admits`` say whether a new flow may open."""
+        self._admits = admits
+
     # Views.
 
     def set_hosts(
@@ -250,6 +263,11 @@
         if len(self._flows) >= self._cfg.max_flows:
             self.counts.untracked += 1
             return upstream.decision
+        if self._is_new(service, key, route) and not self._admits(
+            service, now
+        ):
+            self.counts.refused += 1
+            return _types.Refuse(errors.Code.LIMIT_REACHED)
         # A key that two flows share belongs to the first of them.
         if key not in self._flows:
             self._flows[key] = _flows.Flow(upstream, now)
@@ -257,6 +275,17 @@
             self._exchange.note_placed(key, upstream, route)
         return upstream.decision
 
+    def _is_new(
+        self, service: ids.ServiceId, key: int, route: _hosts.Route
+    ) -> bool:
+        """Return whether a flow that isn't in the table can't be an old one.
+
+        After a change of owners it may be: then no limit may refuse it.
+        """
+        if key in self._flows or route.prior is not None:
+            return False
+        return self._exchange.lookup(service, key, route) is None
+
     def _choose(
         self,
         service: ids.ServiceId,
@@ -337,6 +366,18 @@
         """Flows in the table."""
         return len(self._flows)
 
+    def flows_by_service(self) -> collections.Counter[ids.ServiceId]:
+        """Count the flows in the table; takes time with their number."""
+        return collections.Counter(
+            flow.upstream.view.service for flow in self._flows.values()
+        )
+
+    def flows_by_upstream(self) -> collections.Counter[ids.UpstreamId]:
+        """Count the flows in the table; takes time with their number."""
+        return collections.Counter(
+            flow.upstream.view.upstream for flow in self._flows.values()
+        )
+
     @property
     def exceptions(self) -> int:
         """Flows that other hosts are told of."""
