--- a/foxtailworks/bench/_capacity_parts.py
+++ b/foxtailworks/bench/_capacity_parts.py
@@ -3,13 +3,18 @@
 from collections import abc
 import random
 
+import aiocoap
+
+from foxtailworks import coap
 from foxtailworks import contracts
 from foxtailworks.entry import _admission
+from foxtailworks.entry import _replies
 from foxtailworks.entry import _services
 from foxtailworks import ids
 from foxtailworks import limits
 from foxtailworks import observe
 from foxtailworks import placement
+from foxtailworks import proxyv2
 from foxtailworks import requests
 from foxtailworks import upstreams
 
@@ -19,6 +24,7 @@
 CUSTOMER = ids.CustomerId("customer")
 ANSWER = b"x" * 100
 START_S = 100.0
+TICKS_PER_S = 20
 
 
 def _caller(number: int) -> ids.Address:
@@ -201,7 +207,7 @@
 
 
 def gate_tick(count: int, rng: random.Random) -> abc.Callable[[], object]:
-    """Return one tick of the admissions of all services."""
+    """Return a second of ticks; each service has a request in flight."""
     index = _services.ServiceIndex()
     index.set_contracts([_contract(number) for number in range(count)])
     now = [START_S]
@@ -216,9 +222,27 @@
         lambda call, seconds: None,
     )
     gate.set_limits(index.all(), 690)
+    for number, route in enumerate(index.all()):
+        gate.offer(_call(route, number))
 
     def run() -> None:
-        now[0] += 0.05
-        gate.on_tick(now[0])
+        for _ in range(TICKS_PER_S):
+            now[0] += 1 / TICKS_PER_S
+            gate.on_tick(now[0])
 
     return run
+
+
+def _call(route: _services.Route, number: int) -> _replies.Call:
+    """Return a request that is never answered."""
+    msg = coap.compose(aiocoap.CON, number, aiocoap.GET, b"t")
+    req = coap.read_request(msg.encode())
+    return _replies.Call(
+        route=route,
+        packet=proxyv2.Packet(_caller(number), route.address, b""),
+        req=req,
+        kind=route.class_of(req),
+        began=START_S,
+        deadline=START_S + 3600.0,
+        attempt=requests.AttemptId(number),
+    )
--- a/foxtailworks/bench/capacity.py
+++ b/foxtailworks/bench/capacity.py
@@ -142,7 +142,7 @@
     )
     yield (
         _time_slope(
-            "gate_tick_us",
+            "gate_us_per_s",
             "service",
             lambda n: parts.gate_tick(n, rng),
             (40, 120, 240, 360),
--- a/foxtailworks/entry/_admission.py
+++ b/foxtailworks/entry/_admission.py
@@ -1,6 +1,7 @@
 """Admission of requests by this host's shares of the limits."""
 
 from collections import abc
+import dataclasses
 import random
 
 from foxtailworks import contracts
@@ -12,10 +13,19 @@
 from foxtailworks import limits
 from foxtailworks import observe
 
-# A service without traffic is looked at no more after this time: by then
-# its measured demand has faded.
-QUIET_S = 3.0
+# A service without traffic is looked at no more after this time.
+QUIET_S = 1.0
 SHARES_EVERY_S = 0.25
+# Where nobody waits, only the measured demand needs a tick.
+MEASURE_EVERY_S = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class _Busy:
+    """A service with traffic."""
+
+    active_at: float
+    tick_at: float
 
 
 class Gate:
@@ -45,7 +55,7 @@
         self._admitted = admitted
         self._rejected = rejected
         self._admissions: dict[ids.ServiceId, limits.Admission] = {}
-        self._busy: dict[ids.ServiceId, float] = {}
+        self._busy: dict[ids.ServiceId, _Busy] = {}
         self._shares_at = 0.0
 
     def set_limits(
@@ -91,7 +101,11 @@
             handle=call,
             arrived_at=call.began,
         )
-        self._busy[call.route.key] = call.began
+        busy = self._busy.get(call.route.key)
+        if busy is None:
+            self._busy[call.route.key] = _Busy(call.began, call.began)
+        else:
+            busy.active_at = call.began
         self._carry_out(admission.offer(self._clock(), ticket))
 
     def done(self, call: _replies.Call, is_good: bool) -> None:
@@ -105,15 +119,16 @@
 
     def on_tick(self, now: float) -> None:
         """Let time pass."""
-        for key, active_at in list(self._busy.items()):
+        for key, busy in list(self._busy.items()):
             admission = self._admissions.get(key)
             if admission is None:
                 del self._busy[key]
-                continue
-            self._carry_out(admission.tick(now))
-            is_empty = not admission.queued and not admission.in_flight
-            if is_empty and now - active_at > QUIET_S:
-                del self._busy[key]
+            elif admission.queued or now >= busy.tick_at:
+                busy.tick_at = now + MEASURE_EVERY_S
+                self._carry_out(admission.tick(now))
+                if _is_quiet(admission, now - busy.active_at):
+                    admission.rest()
+                    del self._busy[key]
         if now >= self._shares_at:
             self._shares_at = now + SHARES_EVERY_S
             for item in self._shares.tick(now):
@@ -145,6 +160,12 @@
                 self._rejected(call, item.retry_after_s)
 
 
+def _is_quiet(admission: limits.Admission, idle_s: float) -> bool:
+    """Tell whether a service needs no further look."""
+    is_empty = not admission.queued and not admission.in_flight
+    return is_empty and idle_s > QUIET_S
+
+
 def _amounts(
     found: contracts.Limits,
 ) -> tuple[tuple[limits.Resource, float], ...]:
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -197,6 +197,30 @@
             incarnation=action.host.incarnation,
         )
 
+    @_perform.register
+    def _zone_changed(self, action: membership.ZoneChanged) -> None:
+        """Log that an availability zone was cut off or is back."""
+        _EVENTS.warning(
+            "zone_changed", zone=action.zone, reachable=action.reachable
+        )
+
+    @_perform.register
+    def _isolation_changed(self, action: membership.IsolationChanged) -> None:
+        """Log that this host hears nobody, or hears others again."""
+        _EVENTS.warning("isolation_changed", isolated=action.isolated)
+
+    @_perform.register
+    def _held_dead(self, action: membership.HeldDead) -> None:
+        """Log that the others held this host dead."""
+        _EVENTS.warning("held_dead", incarnation=action.incarnation)
+
+    @_perform.register
+    def _announcement_refused(
+        self, action: upstreams.AnnouncementRefused
+    ) -> None:
+        """Log an upstream's announcement that contradicts a newer one."""
+        _EVENTS.warning("announcement_refused", what=action)
+
     @_perform.register
     def _upstream_changed(self, action: upstreams.UpstreamChanged) -> None:
         """Log an upstream's change and end what was placed there."""
--- a/foxtailworks/entry/_views.py
+++ b/foxtailworks/entry/_views.py
@@ -32,7 +32,7 @@
         leaving = self._leaving(now)
         current = (
             self._members.version(),
-            self._directory.version(),
+            self._directory.records_version(),
             len(leaving),
         )
         if current == self._seen:
--- a/foxtailworks/limits/_admission.py
+++ b/foxtailworks/limits/_admission.py
@@ -150,6 +150,12 @@
             self._window.bad(now)
         return self._serve(now)
 
+    def rest(self) -> None:
+        """Take in that the traffic has ended: nothing is wanted."""
+        self._meter = _Meter()
+        self._shares.want(self._rate, 0.0)
+        self._shares.want(self._flight, 0.0)
+
     def took(self, seconds: float) -> None:
         """Take in how long an upstream took to answer."""
         self._took_s += SMOOTHING * (seconds - self._took_s)
