--- a/foxtailworks/placement/_exchange.py
+++ b/foxtailworks/placement/_exchange.py
@@ -287,7 +287,7 @@
             for host, out in self._outgoing.items()
             if out.to_epoch and not out.is_done
         ]
-        if not hosts:
+        if not hosts or self._tokens <= 0:
             return
         self._turn += 1
         shift = self._turn % len(hosts)
