--- a/foxtailworks/bench/__main__.py
+++ b/foxtailworks/bench/__main__.py
@@ -10,6 +10,7 @@
 from foxtailworks.bench import _figure
 from foxtailworks.bench import _limits
 from foxtailworks.bench import _packets
+from foxtailworks.bench import _placement
 from foxtailworks.bench import _requests
 
 PARTS: dict[str, abc.Callable[[], abc.Iterator[_figure.Figure]]] = {
@@ -18,6 +19,7 @@
     "distribution": _distribution.figures,
     "requests": _requests.figures,
     "limits": _limits.figures,
+    "placement": _placement.run,
 }
 
 
