--- a/foxtailworks/bench/soak.py
+++ b/foxtailworks/bench/soak.py
@@ -14,6 +14,8 @@
 
 import typer
 
+from foxtailworks.bench import _keeper_faults
+from foxtailworks.bench import _membership_walk
 from foxtailworks.bench import _process_soak
 from foxtailworks.bench import _request_walk
 
@@ -21,6 +23,7 @@
 # time, so that a seed always walks the same steps.
 WALKS_PER_SECOND = 0.5
 STEPS_PER_WALK = 300
+MEMBERSHIP_STEPS = 30
 MIN_PHASE_S = 30.0
 EXIT_BROKEN = 1
 
@@ -76,6 +79,27 @@
             print(f"seed {seed} steps {steps}: {names}", file=sys.stderr)
 
 
+def walk_membership(totals: Totals, seconds: float) -> None:
+    """Walk membership and directories; their promises are asserted.
+
+    :raises AssertionError: a promise is broken
+    """
+    for number in range(max(1, int(seconds * WALKS_PER_SECOND / 2))):
+        seed = totals.seed * 10_000 + number
+        totals.steps += MEMBERSHIP_STEPS
+        totals.faults.update(_membership_walk.walk(seed, MEMBERSHIP_STEPS))
+
+
+async def run_keepers(totals: Totals) -> None:
+    """Run the scenarios of keepers on real processes.
+
+    :raises FoxtailError: a promise is broken
+    """
+    async for line in _keeper_faults.run():
+        totals.steps += 1
+        print(f"keepers: {line}", file=sys.stderr)
+
+
 async def run_processes(
     totals: Totals, seconds: float, folder: pathlib.Path
 ) -> None:
@@ -127,7 +151,9 @@
     """Run a soak; fail when a promise was broken."""
     totals = Totals(seed)
     walk_cores(totals, seconds)
+    walk_membership(totals, seconds)
     if processes:
+        asyncio.run(run_keepers(totals))
         asyncio.run(run_processes(totals, seconds, folder))
     print(totals.to_json())
     raise typer.Exit(EXIT_BROKEN if any(totals.violations.values()) else 0)
