Read an upstream's answer once; take packets only when flows are known

Cause: an answer was decoded when it was matched and again when it was given; a host said to the fabric that it lives before its placer was ready and refused flows until then; the three final answers stood in two paths. Change: the latest decoded answer is kept; one conclude(); the beat waits for the placer.

--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -317,12 +317,13 @@
         self.perform(cores.distribution.on_tick(now))
         self.requests.on_tick(now)
         self._gauges.on_tick(now)
-        if self.is_ready():
+        if self.is_ready(now):
             self._fabric.on_tick(now)
 
-    def is_ready(self) -> bool:
-        """Tell whether packets can be served: contracts and roster known."""
-        return self.requests.has_roster()
+    def is_ready(self, now: float) -> bool:
+        """Tell whether packets can be served: contracts and hosts known."""
+        knows_hosts = self.cores.placer.is_ready(now)
+        return self.requests.has_roster() and knows_hosts
 
     def _is_handed_over(self) -> bool:
         """Tell whether nothing is under way and the others know the rest."""
--- a/foxtailworks/entry/_replies.py
+++ b/foxtailworks/entry/_replies.py
@@ -2,7 +2,9 @@
 
 from collections import abc
 import dataclasses
+import math
 import random
+import typing
 
 from foxtailworks import coap
 from foxtailworks import contracts
@@ -16,6 +18,9 @@
 RETRY_SPREAD_S = 2.0
 US_PER_S = 1_000_000
 
+# What a core of requests tells a caller in the end.
+Final: typing.TypeAlias = requests.Answer | requests.Refuse | requests.Unknown
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -57,6 +62,7 @@
         self._histograms = histograms
         self._rng = rng
         self._clock = clock
+        self._latest: tuple[bytes, coap.UpstreamAnswer | None] = (b"", None)
         self.on_done: abc.Callable[[Call, bool], None] = _ignore
 
     def count(self, counter: observe.Counter) -> None:
@@ -96,6 +102,30 @@
         self._send(call, coap.outcome_unknown(call.req, retry_after_s))
         self.on_done(call, False)
 
+    def conclude(self, action: Final) -> None:
+        """Give a caller the final answer that a core has decided on."""
+        call = action.handle
+        assert isinstance(call, Call)
+        if isinstance(action, requests.Answer):
+            self.answered(call, self._read(action.answer))
+            return
+        retry_after_s = math.ceil(action.retry_after_s)
+        if isinstance(action, requests.Refuse):
+            self.not_run(call, retry_after_s)
+        else:
+            self.unknown(call, retry_after_s)
+
+    def remember(self, data: bytes, answer: coap.UpstreamAnswer) -> None:
+        """Keep an answer that is about to be given, read already."""
+        self._latest = (data, answer)
+
+    def _read(self, data: bytes) -> coap.UpstreamAnswer:
+        """Return the answer in ``data``; the latest isn't read twice."""
+        latest, answer = self._latest
+        if answer is not None and latest is data:
+            return answer
+        return coap.read_answer(data)
+
     def passed_on(self, call: Call) -> None:
         """Note that another host answers the call."""
         self.on_done(call, True)
