Part four large modules by job

Change: parts and ledger of the model, knowledge of flows and its exchange, events of traces each in a module of their own; no behaviour changed.

--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 
+from foxtailworks.bench import _request_parts
 from foxtailworks.bench import _request_world
 from foxtailworks import ids
 
@@ -21,7 +22,7 @@
 @behave.given("{hosts:d} entry hosts in {zones:d} availability zones")
 def given_world(context, hosts, zones):
     places = [number % zones for number in range(hosts)]
-    roster = _request_world.make_roster(1, places)
+    roster = _request_parts.make_roster(1, places)
     context.world = _request_world.World(1, roster)
 
 
@@ -39,7 +40,7 @@
 )
 def when_first_dies(context, number):
     world = context.world
-    world.strike = _request_world.Strike.KILL_AFTER
+    world.strike = _request_parts.Strike.KILL_AFTER
     for host in list(world.hosts):
         world.ask(_key(number), host, 2.0)
         world.run(0.01)
--- a/foxtailworks/bench/_placement.py
+++ b/foxtailworks/bench/_placement.py
@@ -7,6 +7,7 @@
 import time
 
 from foxtailworks.bench import _broken
+from foxtailworks.bench import _broken_events
 from foxtailworks.bench import _figure
 from foxtailworks.bench import _fleet
 from foxtailworks.bench import _rivals
@@ -47,7 +48,7 @@
 ) -> abc.Iterator[_figure.Figure]:
     """Yield moved flows by size, event and design."""
     for size in _waiting.SIZES:
-        for event in _broken.EVENTS:
+        for event in _broken_events.EVENTS:
             base = _broken_part("modulo", size, event)
             for name in designs:
                 yield _figure.Figure(
@@ -63,7 +64,8 @@
 def _broken_part(name: str, size: _waiting.Size, event: str) -> float:
     """Return the moved flows of 10,000 in one design."""
     runs = [
-        _broken.run_event(DESIGNS[name](), size, event, seed) for seed in SEEDS
+        _broken_events.run_event(DESIGNS[name](), size, event, seed)
+        for seed in SEEDS
     ]
     part = statistics.fmean(run.broken / run.flows for run in runs)
     return round(10_000 * part, 1)
--- a/foxtailworks/bench/_request_walk.py
+++ b/foxtailworks/bench/_request_walk.py
@@ -8,6 +8,7 @@
 import random
 import typing
 
+from foxtailworks.bench import _request_parts
 from foxtailworks.bench import _request_world
 from foxtailworks import ids
 
@@ -72,7 +73,7 @@
 
 def _strike(world: World, rng: random.Random) -> None:
     """Let the next host that places stop or die around its send."""
-    world.strike = rng.choice(list(_request_world.Strike))
+    world.strike = rng.choice(list(_request_parts.Strike))
 
 
 def _kill(world: World, rng: random.Random) -> None:
@@ -159,7 +160,7 @@
     seed: int, steps: typing.Iterable[int]
 ) -> tuple[World, collections.Counter[str]]:
     """Play the steps with these numbers; return what came of it."""
-    roster = _request_world.make_roster(1, list(ZONES))
+    roster = _request_parts.make_roster(1, list(ZONES))
     world = _request_world.World(seed, roster)
     faults: collections.Counter[str] = collections.Counter()
     for number in steps:
--- a/foxtailworks/bench/_request_world.py
+++ b/foxtailworks/bench/_request_world.py
@@ -4,129 +4,48 @@
 outside.  Each promise is checked against the upstreams' run log.
 """
 
-import collections
-import dataclasses
-import enum
 import functools
-import heapq
-import itertools
 import random
 import typing
 
+from foxtailworks.bench import _request_ledger
+from foxtailworks.bench import _request_parts
 from foxtailworks import ids
 from foxtailworks import requests
 
 TICK_S = 0.05
-RUN_S = 0.02
-RETENTION_S = 60.0
 FABRIC_DELAY_S = 1.0
 FREEZE_S = 30.0
 SERVICE = ids.ServiceId("check-ins")
-Event = typing.Callable[[], None]
 
 
-class Strike(enum.Enum):
-    """What befalls the next host that is about to place a request."""
-
-    FREEZE_BEFORE = "frozen after its last check, sends when it goes on"
-    KILL_BEFORE = "dies before the send"
-    KILL_AFTER = "dies after the send"
-    LOSE = "its send is lost"
-
-
-@dataclasses.dataclass(slots=True)
-class Attempt:
-    """One datagram of a caller and what the caller was told."""
-
-    key: ids.RequestKey
-    number: requests.AttemptId
-    sent_at: float
-    told: str = ""
-    told_at: float = 0.0
-    refused_at: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Host:
-    """An entry host of the model."""
-
-    name: ids.HostId
-    zone: ids.ZoneId
-    groups: requests.KeyGroups
-    coordinator: requests.Coordinator
-    is_up: bool = True
-    is_leaving: bool = False
-    frozen_until: float = 0.0
-    held: list[Event] = dataclasses.field(default_factory=list)
-
-
-@dataclasses.dataclass(slots=True)
-class Upstream:
-    """A fake upstream with a log of what it ran."""
-
-    name: ids.UpstreamId
-    zone: ids.ZoneId
-    is_up: bool = True
-    is_shedding: bool = False
-    run_s: float = RUN_S
-    started: dict[requests.ClaimId, float] = dataclasses.field(
-        default_factory=dict
-    )
-    fenced: set[requests.ClaimId] = dataclasses.field(default_factory=set)
-
-
-def answer_to(key: ids.RequestKey) -> bytes:
-    """Return the one right answer to ``key``."""
-    return b"ran " + key
-
-
-def make_roster(epoch: int, zones: list[int]) -> requests.Roster:
-    """Return a roster of hosts ``h0``... in the given zones."""
-    return requests.Roster(
-        epoch,
-        tuple(
-            (ids.HostId(f"h{i}"), ids.ZoneId(f"z{zone}"))
-            for i, zone in enumerate(zones)
-        ),
-    )
-
-
-class World:
+class World(_request_ledger.Ledger):
     """Hosts, upstreams and callers under faults."""
 
     def __init__(
         self, seed: int, roster: requests.Roster, upstreams: int = 4
     ) -> None:
+        super().__init__()
         self.rng = random.Random(seed)
-        self.now = 100.0
         self.loss = 0.0
         self.doubling = 0.0
         self.delay_s = 0.001
-        self.strike: Strike | None = None
+        self.strike: _request_parts.Strike | None = None
         self.avoids_cut = False
         self.broken: set[tuple[ids.HostId, ids.HostId]] = set()
         self.cut: frozenset[ids.ZoneId] = frozenset()
-        self.counts: collections.Counter[str] = collections.Counter()
-        self.counted: collections.Counter[ids.RequestKey] = (
-            collections.Counter()
-        )
-        self.runs: dict[ids.RequestKey, list[float]] = {}
-        self.attempts: list[Attempt] = []
-        self.refused: list[Attempt] = []
         self.sent_bytes = 0
         self.sent_messages = 0
         self._codec = requests.make_codec()
-        self._serial = itertools.count(1)
-        self._events: list[tuple[float, int, Event]] = []
         self.roster = roster
         zones = sorted({zone for _, zone in roster.hosts})
         self.upstreams = {
-            ids.UpstreamId(f"u{i}"): Upstream(
+            ids.UpstreamId(f"u{i}"): _request_parts.Upstream(
                 ids.UpstreamId(f"u{i}"), zones[i % len(zones)]
             )
             for i in range(upstreams)
         }
-        self.hosts: dict[ids.HostId, Host] = {}
+        self.hosts: dict[ids.HostId, _request_parts.Host] = {}
         for name, zone in roster.hosts:
             self.start_host(name, zone, True)
 
@@ -135,9 +54,11 @@
     ) -> None:
         """Start a process with no memory."""
         groups = requests.KeyGroups(
-            self.roster, RETENTION_S, self._older_rosters()
+            self.roster, _request_ledger.RETENTION_S, self._older_rosters()
+        )
+        recovery = requests.Recovery(
+            self.now, _request_ledger.RETENTION_S, fresh
         )
-        recovery = requests.Recovery(self.now, RETENTION_S, fresh)
         incarnation = ids.Incarnation(next(self._serial))
         store = requests.ClaimStore(
             name, groups, recovery, incarnation=incarnation
@@ -159,7 +80,7 @@
         coordinator = requests.Coordinator(
             name, incarnation, groups, store, choose, rng
         )
-        host = Host(name, zone, groups, coordinator)
+        host = _request_parts.Host(name, zone, groups, coordinator)
         self.hosts[name] = host
         self._tick(host)
 
@@ -175,15 +96,15 @@
         key: ids.RequestKey,
         name: ids.HostId,
         deadline_s: float = 2.0,
-        again: Attempt | None = None,
+        again: _request_parts.Attempt | None = None,
         is_admitted: bool = True,
         is_routed: bool = True,
-    ) -> Attempt:
+    ) -> _request_parts.Attempt:
         """Send a caller's datagram, a new attempt or a retransmission."""
         attempt = again
         if attempt is None:
             number = requests.AttemptId(next(self._serial))
-            attempt = Attempt(key, number, self.now)
+            attempt = _request_parts.Attempt(key, number, self.now)
             self.attempts.append(attempt)
         arrival = requests.Arrival(
             key,
@@ -191,7 +112,7 @@
             SERVICE,
             int(deadline_s * 1000),
             attempt,
-            RETENTION_S,
+            _request_ledger.RETENTION_S,
         )
         if not attempt.refused_at:
             # The caller asks once more of its own accord.
@@ -205,20 +126,6 @@
             self._event(host, lambda: refuse(self.now, arrival, 1.0))
         return attempt
 
-    def run(self, seconds: float) -> None:
-        """Let virtual time pass."""
-        end = self.now + seconds
-        while self._events and self._events[0][0] <= end:
-            at, _, event = heapq.heappop(self._events)
-            self.now = max(self.now, at)
-            event()
-        self.now = end
-
-    def at(self, delay_s: float, event: Event) -> None:
-        """Do ``event`` later."""
-        item = (self.now + delay_s, next(self._serial), event)
-        heapq.heappush(self._events, item)
-
     def kill(self, name: ids.HostId) -> None:
         """End a host at once."""
         self.hosts[name].is_up = False
@@ -231,7 +138,7 @@
         self._finish_leaving(host, back_after_s, False)
 
     def _finish_leaving(
-        self, host: Host, back_after_s: float, has_begun: bool
+        self, host: _request_parts.Host, back_after_s: float, has_begun: bool
     ) -> None:
         """Hand over once idle; stop once that is done."""
         if not host.is_up or self.hosts[host.name] is not host:
@@ -250,7 +157,7 @@
             lambda: self._finish_leaving(host, back_after_s, has_begun),
         )
 
-    def _come_back(self, old: Host) -> None:
+    def _come_back(self, old: _request_parts.Host) -> None:
         """Start a host again unless something else has."""
         if self.hosts[old.name] is old:
             self.start_host(old.name, old.zone, False)
@@ -275,7 +182,7 @@
             delay_s = spread_s * self.rng.random()
             self.at(delay_s, functools.partial(self._learn_roster, host))
 
-    def _learn_roster(self, host: Host) -> None:
+    def _learn_roster(self, host: _request_parts.Host) -> None:
         """Let a host adopt the newest roster, and tell the others so."""
         if not host.is_up or self.now < host.frozen_until:
             self.at(1.0, functools.partial(self._learn_roster, host))
@@ -290,27 +197,17 @@
         old = self.upstreams.pop(name)
         old.is_up = False
         new = ids.UpstreamId(f"{name}'")
-        self.upstreams[new] = Upstream(new, old.zone)
+        self.upstreams[new] = _request_parts.Upstream(new, old.zone)
 
     def perform(
-        self, host: Host, actions: tuple[requests.Action, ...]
+        self, host: _request_parts.Host, actions: tuple[requests.Action, ...]
     ) -> None:
         """Carry out actions, as the program of a host does."""
         for action in actions:
             step = functools.partial(self._act, host, action)
             self._do(host, step)
 
-    def counts_of_violations(self) -> dict[str, int]:
-        """Return the violations, all named."""
-        names = ("run_twice", "false_not_run", "crossed")
-        found = {name: self.counts[name] for name in names}
-        found["counted_twice"] = sum(
-            count > len(self.runs.get(key, ()))
-            for key, count in self.counted.items()
-        )
-        return found
-
-    def _act(self, host: Host, action: requests.Action) -> None:
+    def _act(self, host: _request_parts.Host, action: requests.Action) -> None:
         """Carry out one action."""
         match action:
             case requests.Send():
@@ -324,18 +221,23 @@
             case _:
                 self._told(action)
 
-    def _struck(self, host: Host, action: requests.Place) -> None:
+    def _struck(
+        self, host: _request_parts.Host, action: requests.Place
+    ) -> None:
         """Let a fault befall a host around its send."""
         strike, self.strike = self.strike, None
-        if strike is Strike.FREEZE_BEFORE:
+        if strike is _request_parts.Strike.FREEZE_BEFORE:
             self.freeze(host.name, FREEZE_S)
             self._do(host, functools.partial(self._act, host, action))
-        elif strike is Strike.KILL_AFTER:
+        elif strike is _request_parts.Strike.KILL_AFTER:
             self._act(host, action)
-        if strike in (Strike.KILL_BEFORE, Strike.KILL_AFTER):
+        if strike in (
+            _request_parts.Strike.KILL_BEFORE,
+            _request_parts.Strike.KILL_AFTER,
+        ):
             self.kill(host.name)
 
-    def _send(self, host: Host, action: requests.Send) -> None:
+    def _send(self, host: _request_parts.Host, action: requests.Send) -> None:
         """Send a message between hosts through the codec."""
         data = self._codec.encode(action.message)
         self.sent_bytes += len(data)
@@ -356,7 +258,10 @@
             self._carry(host.zone, target.zone, deliver)
 
     def _carry(
-        self, source: ids.ZoneId, target: ids.ZoneId, deliver: Event
+        self,
+        source: ids.ZoneId,
+        target: ids.ZoneId,
+        deliver: _request_parts.Event,
     ) -> None:
         """Lose, double or delay a datagram."""
         if not self._reaches(source, target):
@@ -381,7 +286,10 @@
         return (source in self.cut) == (target in self.cut)
 
     def _arrive(
-        self, host: Host, arrival: requests.Arrival, passed: bool
+        self,
+        host: _request_parts.Host,
+        arrival: requests.Arrival,
+        passed: bool,
     ) -> None:
         """Route a caller's datagram and begin it."""
         if not host.is_up:
@@ -399,13 +307,15 @@
 
     def _event(
         self,
-        host: Host,
+        host: _request_parts.Host,
         event: typing.Callable[[], tuple[requests.Action, ...]],
     ) -> None:
         """Let a host take in an event, now or when it goes on."""
         self._do(host, lambda: self.perform(host, event()))
 
-    def _do(self, host: Host, step: Event) -> None:
+    def _do(
+        self, host: _request_parts.Host, step: _request_parts.Event
+    ) -> None:
         """Do a step of a host unless it is down or frozen."""
         if not host.is_up or self.hosts[host.name] is not host:
             return
@@ -414,13 +324,13 @@
         else:
             step()
 
-    def _thaw(self, host: Host) -> None:
+    def _thaw(self, host: _request_parts.Host) -> None:
         """Go on with what was held."""
         held, host.held = host.held, []
         for step in held:
             self._do(host, step)
 
-    def _tick(self, host: Host) -> None:
+    def _tick(self, host: _request_parts.Host) -> None:
         """Tick a host for as long as it lives."""
         if not host.is_up or self.hosts[host.name] is not host:
             return
@@ -430,7 +340,9 @@
         self.at(TICK_S, lambda: self._tick(host))
 
     def _to_upstream(
-        self, host: Host, action: requests.Place | requests.Cancel
+        self,
+        host: _request_parts.Host,
+        action: requests.Place | requests.Cancel,
     ) -> None:
         """Send a datagram to an upstream that may be gone."""
         target = self.upstreams.get(action.upstream)
@@ -443,7 +355,10 @@
         self._carry(host.zone, target.zone, step)
 
     def _placed(
-        self, host: Host, target: Upstream, action: requests.Place
+        self,
+        host: _request_parts.Host,
+        target: _request_parts.Upstream,
+        action: requests.Place,
     ) -> None:
         """Run a placement unless it is fenced or shed."""
         key, claim = action.key, action.claim
@@ -465,13 +380,16 @@
                 host,
                 target,
                 lambda: host.coordinator.answered(
-                    self.now, key, claim, answer_to(key)
+                    self.now, key, claim, _request_parts.answer_to(key)
                 ),
             ),
         )
 
     def _cancel(
-        self, host: Host, target: Upstream, action: requests.Cancel
+        self,
+        host: _request_parts.Host,
+        target: _request_parts.Upstream,
+        action: requests.Cancel,
     ) -> None:
         """Fence a placement, or say that it started."""
         key, claim = action.key, action.claim
@@ -484,7 +402,7 @@
             target.fenced.add(claim)
             result = requests.CancelResult.NEVER_STARTED
         elif self.now >= started + target.run_s:
-            answer = answer_to(key)
+            answer = _request_parts.answer_to(key)
         self._reply(
             host,
             target,
@@ -495,8 +413,8 @@
 
     def _reply(
         self,
-        host: Host,
-        target: Upstream,
+        host: _request_parts.Host,
+        target: _request_parts.Upstream,
         event: typing.Callable[[], tuple[requests.Action, ...]],
     ) -> None:
         """Carry an upstream's word back."""
@@ -504,33 +422,3 @@
             self._carry(
                 target.zone, host.zone, lambda: self._event(host, event)
             )
-
-    def _ran(self, key: ids.RequestKey) -> None:
-        """Log a run and judge it."""
-        runs = self.runs.setdefault(key, [])
-        self.counts["run"] += 1
-        newest = max(a.sent_at for a in self.attempts if a.key == key)
-        if any(newest < at + RETENTION_S for at in runs):
-            self.counts["run_twice"] += 1
-        runs.append(self.now)
-        for attempt in self.refused:
-            if attempt.key == key and attempt.refused_at >= newest:
-                self.counts["false_not_run"] += 1
-
-    def _told(
-        self, action: requests.Answer | requests.Refuse | requests.Unknown
-    ) -> None:
-        """Judge what a caller is told."""
-        attempt = typing.cast(Attempt, action.handle)
-        attempt.told = type(action).__name__
-        attempt.told_at = self.now
-        self.counts[attempt.told] += 1
-        if isinstance(action, requests.Answer):
-            if action.answer != answer_to(attempt.key):
-                self.counts["crossed"] += 1
-        if isinstance(action, requests.Refuse):
-            runs = self.runs.get(attempt.key, ())
-            if any(attempt.sent_at < at + RETENTION_S for at in runs):
-                self.counts["false_not_run"] += 1
-            attempt.refused_at = self.now
-            self.refused.append(attempt)
--- a/foxtailworks/bench/_requests.py
+++ b/foxtailworks/bench/_requests.py
@@ -7,6 +7,7 @@
 import tracemalloc
 
 from foxtailworks.bench import _figure
+from foxtailworks.bench import _request_parts
 from foxtailworks.bench import _request_world
 from foxtailworks import ids
 from foxtailworks import requests
@@ -31,7 +32,7 @@
     """Three hosts that hand their messages to one another at once."""
 
     def __init__(self, has_codec: bool) -> None:
-        roster = _request_world.make_roster(1, [0, 1, 2])
+        roster = _request_parts.make_roster(1, [0, 1, 2])
         self.hosts: dict[ids.HostId, requests.Coordinator] = {}
         self._codec = requests.make_codec() if has_codec else None
         for name, _ in roster.hosts:
@@ -94,7 +95,7 @@
 
 def measure_traffic() -> tuple[float, float]:
     """Return control bytes and messages for one keyed request."""
-    roster = _request_world.make_roster(1, LAYOUTS["6_hosts_3_zones"])
+    roster = _request_parts.make_roster(1, LAYOUTS["6_hosts_3_zones"])
     world = _request_world.World(1, roster)
     rng = random.Random(1)
     for number in range(REQUESTS):
@@ -107,7 +108,7 @@
 
 def measure_state() -> float:
     """Return the bytes that a member keeps for one outcome."""
-    roster = _request_world.make_roster(1, [0, 1, 2])
+    roster = _request_parts.make_roster(1, [0, 1, 2])
     groups = requests.KeyGroups(roster, 300.0)
     recovery = requests.Recovery(0.0, 300.0, True)
     store = requests.ClaimStore(ids.HostId("h0"), groups, recovery)
@@ -162,7 +163,7 @@
     The smaller side is the first availability zone.  Callers of each side
     reach only hosts of their side; hosts know who is cut off by then.
     """
-    roster = _request_world.make_roster(1, LAYOUTS[layout])
+    roster = _request_parts.make_roster(1, LAYOUTS[layout])
     world = _request_world.World(1, roster, upstreams=len(LAYOUTS[layout]))
     away = ids.ZoneId("z0")
     world.cut = frozenset([away])
@@ -186,10 +187,10 @@
 
 def _ask_sides(
     world: _request_world.World, sides: dict[str, list[ids.HostId]]
-) -> dict[str, list[_request_world.Attempt]]:
+) -> dict[str, list[_request_parts.Attempt]]:
     """Ask new keys on both sides of a cut and wait for the answers."""
     rng = random.Random(2)
-    asked: dict[str, list[_request_world.Attempt]] = {}
+    asked: dict[str, list[_request_parts.Attempt]] = {}
     for number in range(CUT_REQUESTS):
         for index, (side, hosts) in enumerate(sides.items()):
             key = make_key(number * 2 + index)
--- a/foxtailworks/requests/tests/test_at_most_once.py
+++ b/foxtailworks/requests/tests/test_at_most_once.py
@@ -6,6 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from foxtailworks.bench import _request_parts
 from foxtailworks.bench import _request_walk
 from foxtailworks.bench import _request_world
 
@@ -17,7 +18,7 @@
 
     @stateful.initialize(seed=st.integers(0, 1000))
     def start(self, seed):
-        roster = _request_world.make_roster(1, list(_request_walk.ZONES))
+        roster = _request_parts.make_roster(1, list(_request_walk.ZONES))
         self.world = _request_world.World(seed, roster)
 
     @stateful.rule(
--- a/foxtailworks/requests/tests/test_failures.py
+++ b/foxtailworks/requests/tests/test_failures.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from foxtailworks.bench import _request_parts
 from foxtailworks.bench import _request_walk
 from foxtailworks.bench import _request_world
 from foxtailworks import errors
@@ -9,11 +10,11 @@
 from foxtailworks import requests
 
 KEY = ids.RequestKey(b"k" * 16)
-Strike = _request_world.Strike
+Strike = _request_parts.Strike
 
 
 def make(zones=_request_walk.ZONES):
-    roster = _request_world.make_roster(1, list(zones))
+    roster = _request_parts.make_roster(1, list(zones))
     world = _request_world.World(1, roster, upstreams=1)
     group = requests.choose_group(roster, KEY)
     return world, group.members
@@ -135,7 +136,7 @@
 
 
 def test_a_full_store_grants_nothing_new():
-    roster = _request_world.make_roster(1, [0, 1, 2])
+    roster = _request_parts.make_roster(1, [0, 1, 2])
     groups = requests.KeyGroups(roster, 60.0)
     recovery = requests.Recovery(0.0, 60.0, True)
     store = requests.ClaimStore(ids.HostId("h0"), groups, recovery, 2)
@@ -188,7 +189,7 @@
 
 
 def test_only_the_next_start_counts_on_a_whole_hand_over():
-    roster = _request_world.make_roster(1, [0, 1, 2])
+    roster = _request_parts.make_roster(1, [0, 1, 2])
     groups = requests.KeyGroups(roster, 60.0)
     recovery = requests.Recovery(0.0, 60.0, True)
     store = requests.ClaimStore(ids.HostId("h0"), groups, recovery)
