Keep a customer's last readable contract in force

Cause: one text that a host can't read (a newer keeper during an upgrade) raised in the middle of putting a version in force: no customer's change took effect and the subscription began anew for ever. Change: that customer keeps the last readable contract, the others change, the fault is logged.

--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -209,10 +209,8 @@
         now = self._clock()
         self._metrics.count(observe.Counter.CONTRACTS_APPLIED)
         view = self.cores.contracts
-        items = [
-            contracts.parse_contract(item.document) for item in view.contracts
-        ]
-        self.services.set_contracts(items)
+        for fault in self.services.set_texts(view.contracts):
+            _EVENTS.failed("contract_unreadable", fault)
         self.cores.placer.set_idle_times(
             {
                 item.key: float(item.service.flow_idle_s)
@@ -237,7 +235,7 @@
             "version_in_force",
             version=view.version,
             epoch=view.roster.epoch,
-            customers=len(items),
+            customers=len(view.contracts),
         )
 
     # Life.
--- a/foxtailworks/entry/_services.py
+++ b/foxtailworks/entry/_services.py
@@ -5,6 +5,7 @@
 
 from foxtailworks import coap
 from foxtailworks import contracts
+from foxtailworks import errors
 from foxtailworks import ids
 
 _DEFAULT_CLASS = contracts.RequestClass(name="other")
@@ -51,6 +52,34 @@
     def __init__(self) -> None:
         self._by_address: dict[ids.Address, Route] = {}
         self._by_key: dict[ids.ServiceId, Route] = {}
+        self._readable: dict[ids.CustomerId, contracts.Contract] = {}
+
+    def set_texts(
+        self, texts: abc.Iterable[contracts.Versioned]
+    ) -> tuple[errors.FoxtailError, ...]:
+        """Take in the texts of all contracts in force.
+
+        A text that this program can't read (keepers may be newer during an
+        upgrade) leaves the customer's last readable contract in force.
+
+        :returns: why texts couldn't be read
+        """
+        readable: dict[ids.CustomerId, contracts.Contract] = {}
+        faults = []
+        for item in texts:
+            try:
+                contract = contracts.parse_contract(item.document)
+            except errors.FoxtailError as exc:
+                exc.context["customer"] = item.customer
+                faults.append(exc)
+                last = self._readable.get(item.customer)
+                if last is None:
+                    continue
+                contract = last
+            readable[item.customer] = contract
+        self._readable = readable
+        self.set_contracts(readable.values())
+        return tuple(faults)
 
     def set_contracts(self, items: abc.Iterable[contracts.Contract]) -> None:
         """Take in all contracts in force."""
