Gather what serves keyed requests behind one side

Cause: the path of requests had five optional parts that come to be together once the roster is known.

--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -122,7 +122,7 @@
         )
         self._peers.on(contracts.SPREAD_MESSAGES.values(), self._take_spread)
         self._peers.on(
-            _rosters.MESSAGES.values(), self.requests.on_roster_epoch
+            _rosters.MESSAGES.values(), self.requests.keyed.on_roster_epoch
         )
         self._peers.on(placement.MESSAGES.values(), self._take_placement)
         self._peers.on(requests.MESSAGES.values(), self.requests.on_message)
@@ -220,9 +220,9 @@
         retentions = (
             item.service.key_retention_s for item in self.services.all()
         )
-        self.requests.set_retention(float(max(retentions, default=0)))
+        self.requests.keyed.set_retention(float(max(retentions, default=0)))
         if update.roster is not None:
-            self.requests.set_roster(update.roster, now)
+            self.requests.keyed.set_roster(update.roster, now)
             self.cores.placer.set_homes(
                 tuple(
                     placement.HostView(item.host, item.zone)
@@ -321,7 +321,7 @@
     def is_ready(self, now: float) -> bool:
         """Tell whether packets can be served: contracts and hosts known."""
         knows_hosts = self.cores.placer.is_ready(now)
-        return self.requests.has_roster() and knows_hosts
+        return self.requests.keyed.is_ready and knows_hosts
 
     def _is_handed_over(self) -> bool:
         """Tell whether nothing is under way and the others know the rest."""
@@ -332,7 +332,7 @@
         start = self._clock()
         self._operators.leaving = True
         self._fabric.withdraw()
-        self.requests.leave()
+        self.requests.keyed.leave()
         self.cores.placer.leave(start)
         self.perform(self.cores.members.leave(start))
         while self._clock() - start < LEAVE_MAX_S:
@@ -340,9 +340,9 @@
             spent = self._clock() - start
             if spent >= LEAVE_MIN_S and self._is_handed_over():
                 break
-        self.requests.hand_over(self._clock())
+        self.requests.keyed.hand_over(self._clock())
         until = self._clock() + HAND_OVER_MAX_S
         while self._clock() < until:
             await asyncio.sleep(DRAIN_STEP_S)
-            if self.requests.is_handed_over(self._clock()):
+            if self.requests.keyed.is_handed_over(self._clock()):
                 break
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -5,7 +5,6 @@
 import random
 
 from foxtailworks import coap
-from foxtailworks import contracts
 from foxtailworks.entry import _admission
 from foxtailworks.entry import _choice
 from foxtailworks.entry import _cores
@@ -13,10 +12,9 @@
 from foxtailworks.entry import _fabric
 from foxtailworks.entry import _flow_gates
 from foxtailworks.entry import _idempotent
-from foxtailworks.entry import _keyed
+from foxtailworks.entry import _keyed_side
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _replies
-from foxtailworks.entry import _rosters
 from foxtailworks.entry import _services
 from foxtailworks import errors
 from foxtailworks import ids
@@ -27,7 +25,6 @@
 from foxtailworks import requests
 from foxtailworks import upstreams
 
-RETENTION_S = 300.0
 MS_PER_S = 1000
 ATTEMPT_BYTES = 8
 
@@ -48,13 +45,9 @@
     ) -> None:
         self._cores = cores
         self._services = services
-        self._peers = peers
         self._fabric = fabric
         self._metrics = metrics
-        self._incarnation = incarnation
-        self._rng = rng
         self._clock = clock
-        self._started_at = clock()
         self.histograms = observe.Histograms()
         self.exchanges = _exchanges.Exchanges(
             rng.randrange(_exchanges.MESSAGE_IDS), metrics
@@ -95,101 +88,23 @@
             clock,
         )
         self.in_flight = self._choice.in_flight
-        self._retention_s = RETENTION_S
-        self._groups: requests.KeyGroups | None = None
-        self._recovery: requests.Recovery | None = None
-        self._rosters: _rosters.Rosters | None = None
-        self._starting: _rosters.RosterStart | None = None
-        self._coordinator: requests.Coordinator | None = None
-        self._keyed: _keyed.KeyedPath | None = None
-
-    # Roster and hosts.
-
-    def has_roster(self) -> bool:
-        """Tell whether the groups of keys are known."""
-        return self._keyed is not None
-
-    def set_roster(self, roster: contracts.Roster, now: float) -> None:
-        """Take in a roster; the first one makes the coordinator."""
-        hosts = tuple((item.host, item.zone) for item in roster.hosts)
-        current = requests.Roster(int(roster.epoch), hosts)
-        mine = roster.find(self._cores.members.me.id)
-        if self._rosters is not None:
-            self._rosters.change(current, now)
-        elif mine is not None and mine.incarnation == self._incarnation:
-            self._start(current, (), True)
-        elif mine is not None:
-            me = self._cores.members.me.id
-            self._starting = _rosters.RosterStart(
-                me, current, self._peers, self._cores.views, now
-            )
-
-    def _start_if_told(self, now: float) -> None:
-        """Start once the older rosters that still count are known."""
-        starting = self._starting
-        if starting is None:
-            return
-        starting.on_tick(now)
-        if starting.is_done(now):
-            self._starting = None
-            self._start(starting.roster, starting.older(), False)
-            self.update_limits()
-
-    def _start(
-        self,
-        roster: requests.Roster,
-        older: tuple[requests.Roster, ...],
-        fresh: bool,
-    ) -> None:
-        """Make the coordinator and this host's memory of claims."""
-        me = self._cores.members.me
-        retention_s = self._retention_s
-        groups = requests.KeyGroups(roster, retention_s, older)
-        recovery = requests.Recovery(self._started_at, retention_s, fresh)
-        self._rosters = _rosters.Rosters(
-            groups, self._cores.views, self._peers
-        )
-        self._recovery = recovery
-        store = requests.ClaimStore(
-            me.id, groups, recovery, incarnation=self._incarnation
-        )
-        self._groups = groups
-        self._coordinator = requests.Coordinator(
-            me.id, self._incarnation, groups, store, self._choice, self._rng
-        )
-        self._keyed = _keyed.KeyedPath(
-            self._coordinator,
-            self._cores.views,
-            self._cores.directory,
+        self.keyed = _keyed_side.KeyedSide(
+            cores,
             self._choice,
             self.exchanges,
-            self._peers,
+            peers,
             self._replies,
-            self._clock,
+            incarnation,
+            rng,
+            clock,
             self.gate.offer,
         )
-        self.set_alive()
-
-    def set_retention(self, seconds: float) -> None:
-        """Take in the longest retention of the contracts in force."""
-        self._retention_s = max(self._retention_s, seconds)
-        if self._groups is not None and self._recovery is not None:
-            self._groups.set_retention(self._retention_s)
-            self._recovery.set_retention(self._retention_s)
 
-    def on_roster_epoch(
-        self, src: ids.Address, msg: _rosters.RosterEpoch
-    ) -> None:
-        """Note which roster another host goes by."""
-        if self._rosters is not None:
-            self._rosters.on_message(src, msg, self._clock())
-        elif self._starting is not None:
-            self._starting.on_message(src, msg)
+    # Limits and hosts.
 
     def update_limits(self) -> None:
         """Derive this host's shares anew from contracts and rosters."""
-        me = self._cores.members.me.id
-        divisor = self._groups.share_divisor(me) if self._groups else 0
+        divisor = self.keyed.share_divisor()
         self.gate.set_limits(self._services.all(), divisor)
         self.flow_gates.set_routes(self._services.all())
 
@@ -201,15 +116,12 @@
         names = [item.id for item in live]
         self._bodies.set_alive(names)
         self.gate.set_alive(names)
-        if self._coordinator is not None:
-            self._coordinator.set_alive(names)
+        self.keyed.set_alive(names)
 
     def upstream_gone(self, upstream: ids.UpstreamId) -> None:
         """Give up on what was placed on an upstream that has ended."""
         self._idempotent.upstream_gone(upstream)
-        if self._coordinator is not None and self._keyed is not None:
-            now = self._clock()
-            self._keyed.perform(self._coordinator.upstream_gone(now, upstream))
+        self.keyed.upstream_gone(upstream)
 
     # Messages.
 
@@ -238,15 +150,15 @@
         call = _make_call(route, packet, req, now)
         if req.method.idempotent:
             self.gate.offer(call)
-        elif self._keyed is not None:
-            self._keyed.take(call, now)
+        else:
+            self.keyed.take(call, now)
 
     def _admitted(self, call: _replies.Call) -> None:
         """Go on with a call that was let in."""
         if call.req.method.idempotent:
             self._idempotent.take(call, self._clock())
-        elif self._keyed is not None:
-            self._keyed.admitted(call)
+        else:
+            self.keyed.admitted(call)
 
     def _rejected(self, call: _replies.Call, retry_after_s: float) -> None:
         """Refuse a call that wasn't let in."""
@@ -255,8 +167,8 @@
         elif call.req.method.idempotent:
             # A copy may run at another host, and it changes something.
             self._replies.unknown(call, math.ceil(retry_after_s))
-        elif self._keyed is not None:
-            self._keyed.rejected(call, retry_after_s)
+        else:
+            self.keyed.rejected(call, retry_after_s)
 
     def _refuse_malformed(self, packet: proxyv2.Packet) -> None:
         """Answer a request that can't be read."""
@@ -265,31 +177,26 @@
         if answer is not None:
             self._fabric.answer(packet.target, packet.source, answer)
 
-    def on_message(self, src: ids.Address, msg: object) -> None:
+    def on_message(self, src: ids.Address, msg: requests.Message) -> None:
         """Take another host's message about requests."""
         if isinstance(msg, requests.BodyBind | requests.BodyBound):
             self._idempotent.on_message(src, msg)
-        elif self._keyed is not None:
-            self._keyed.on_message(src, msg)
+        else:
+            self.keyed.on_message(src, msg)
 
     def on_tick(self, now: float) -> None:
         """Let time pass."""
-        self._start_if_told(now)
         self.exchanges.on_tick(now)
         self.gate.on_tick(now)
         self.flow_gates.on_tick(now)
         self._count_jobs()
         self._idempotent.on_tick(now)
-        if self._keyed is not None and self._rosters is not None:
-            self._keyed.on_tick(now)
-            if self._rosters.on_tick(now, self._others()):
-                self.update_limits()
+        if self.keyed.on_tick(now, self._others()):
+            self.update_limits()
 
     def _count_jobs(self) -> None:
         """Count keyed requests that ran, once each for each customer."""
-        if self._coordinator is None:
-            return
-        for ran in self._coordinator.drain_ran():
+        for ran in self.keyed.drain_ran():
             route = self._services.get(ran.service)
             if route is not None and self._jobs.placed(
                 route.customer, ran.claim
@@ -315,30 +222,11 @@
         """Return how often a repeatable request was placed again."""
         return self._idempotent.retries()
 
-    # Leaving.
-
-    def leave(self) -> None:
-        """Take no new keyed requests."""
-        if self._coordinator is not None:
-            self._coordinator.leave()
-
     def is_idle(self) -> bool:
         """Tell whether nothing is under way."""
-        keyed = self._coordinator
         if len(self.exchanges) or not self._idempotent.is_idle():
             return False
-        return keyed is None or keyed.is_idle
-
-    def hand_over(self, now: float) -> None:
-        """Give this host's claims to the others."""
-        if self._coordinator is not None and self._keyed is not None:
-            self._keyed.perform(self._coordinator.hand_over(now))
-
-    def is_handed_over(self, now: float) -> bool:
-        """Tell whether the others have this host's claims."""
-        return self._coordinator is None or self._coordinator.is_handed_over(
-            now
-        )
+        return self.keyed.is_idle()
 
 
 def _make_call(
