--- a/foxtailworks/keeper/_operators.py
+++ b/foxtailworks/keeper/_operators.py
@@ -168,6 +168,16 @@
             for item in self._view.roster.hosts
         )
 
+    def _is_reached(self, item: agreement.Member) -> bool:
+        """Tell whether this very keeper is linked, not just its address.
+
+        After its disk was lost another identity answers there.
+        """
+        if item.keeper == self._program.node.replica.keeper:
+            return True
+        peers = self._program.peers
+        return item.keeper in peers.known and peers.is_linked(item.address)
+
     def _keeper_lines(self) -> tuple[contracts.KeeperLine, ...]:
         """Return the keepers of the group."""
         replica = self._program.node.replica
@@ -178,8 +188,7 @@
                 address=item.address,
                 voter=item.voter,
                 leader=item.keeper == replica.leader,
-                reachable=item.keeper == replica.keeper
-                or self._program.peers.is_linked(item.address),
+                reachable=self._is_reached(item),
                 stored_index=replica.progress_of(item.keeper),
             )
             for item in replica.membership.members
