Cancel placements in one place

Cause: both paths of requests made tokens for cancellations and sent them with the same lines. Change: Exchanges.cancel().

--- a/foxtailworks/entry/_exchanges.py
+++ b/foxtailworks/entry/_exchanges.py
@@ -17,6 +17,8 @@
 FIRST_RESEND_S = 1.0
 MAX_RESENDS = 3
 MAX_EXCHANGES = 100_000
+# Shorter than a placement's token, so that the two never meet.
+CANCEL_TOKEN_BYTES = 7
 
 
 class Awaiting(typing.Protocol):
@@ -74,6 +76,7 @@
         self._message_id = first_message_id
         self._metrics = metrics
         self._open: dict[bytes, _Exchange] = {}
+        self._cancels = 0
         self.port: udp.Port | None = None
 
     def __len__(self) -> int:
@@ -114,6 +117,34 @@
         self._open[token] = exchange
         self._transmit(exchange)
 
+    def cancel(
+        self,
+        placement: bytes,
+        address: ids.Address,
+        key: ids.RequestKey | None,
+        awaiting: Awaiting,
+        now: float,
+        lifetime_s: float,
+    ) -> None:
+        """Ask an upstream never to start a placement; none without room.
+
+        :param placement: token under which the request was sent
+        """
+        if not self.has_room():
+            return
+        self._cancels += 1
+        token = b"c" + self._cancels.to_bytes(CANCEL_TOKEN_BYTES - 1, "big")
+        self.send(
+            token,
+            address,
+            lambda message_id: coap.cancel_request(
+                key, placement, token, message_id
+            ),
+            awaiting,
+            now,
+            lifetime_s,
+        )
+
     def _transmit(self, exchange: _Exchange) -> None:
         """Put the message on the wire."""
         assert self.port is not None
--- a/foxtailworks/entry/_idempotent.py
+++ b/foxtailworks/entry/_idempotent.py
@@ -60,7 +60,6 @@
         self._peers = peers
         self._replies = replies
         self._clock = clock
-        self._cancels = 0
         self._large: collections.OrderedDict[tuple[ids.ServiceId, str], None]
         self._large = collections.OrderedDict()
 
@@ -201,20 +200,15 @@
         token = action.token.to_bytes(TOKEN_BYTES, "big")
         self._exchanges.forget(token)
         upstream = self._directory.get(action.upstream)
-        if upstream is None or not self._exchanges.has_room():
-            return
-        self._cancels += 1
-        own = b"t" + self._cancels.to_bytes(TOKEN_BYTES - 2, "big")
-        self._exchanges.send(
-            own,
-            upstream.address,
-            lambda message_id: coap.cancel_request(
-                None, token, own, message_id
-            ),
-            _exchanges.Unheeded(),
-            self._clock(),
-            CANCEL_LIFETIME_S,
-        )
+        if upstream is not None:
+            self._exchanges.cancel(
+                token,
+                upstream.address,
+                None,
+                _exchanges.Unheeded(),
+                self._clock(),
+                CANCEL_LIFETIME_S,
+            )
 
     @_perform.register(requests.Answer)
     @_perform.register(requests.Refuse)
--- a/foxtailworks/entry/_keyed.py
+++ b/foxtailworks/entry/_keyed.py
@@ -47,7 +47,6 @@
         self._peers = peers
         self._replies = replies
         self._clock = clock
-        self._cancels = 0
 
     def take(self, call: _replies.Call, now: float) -> None:
         """Take a request in, from a caller or from another host."""
@@ -150,20 +149,15 @@
     def _cancel(self, action: requests.Cancel) -> None:
         """Ask the upstream never to start a placement."""
         upstream = self._directory.get(action.upstream)
-        if upstream is None or not self._exchanges.has_room():
-            return
-        self._cancels += 1
-        token = b"c" + self._cancels.to_bytes(TOKEN_BYTES - 2, "big")
-        self._exchanges.send(
-            token,
-            upstream.address,
-            lambda message_id: coap.cancel_request(
-                action.key, _token(action.claim), token, message_id
-            ),
-            _Cancelling(self, action),
-            self._clock(),
-            CANCEL_LIFETIME_S,
-        )
+        if upstream is not None:
+            self._exchanges.cancel(
+                _token(action.claim),
+                upstream.address,
+                action.key,
+                _Cancelling(self, action),
+                self._clock(),
+                CANCEL_LIFETIME_S,
+            )
 
     def take_cancelled(
         self,
