Part the replicated node and the logs from what keepers load

Cause: importing foxtailworks.keeper._node took 48 MB since it brings the contracts' checker, histograms and TLS; the platform's coordinators need agreement, disk and logs alone, and the goal there is 25 MB a process. Change: foxtailworks.replicated holds the node for any state machine, keeper.Node is that node over the catalogue; foxtailworks.logs holds the event lines, observe exports them as before. No behaviour changes.

--- a/foxtailworks/keeper/__init__.py
+++ b/foxtailworks/keeper/__init__.py
@@ -4,8 +4,8 @@
 """
 
 from foxtailworks.keeper._cli import main
-from foxtailworks.keeper._node import Decided
-from foxtailworks.keeper._node import Displaced
 from foxtailworks.keeper._node import Node
+from foxtailworks.replicated import Decided
+from foxtailworks.replicated import Displaced
 
 __all__ = ["Decided", "Displaced", "Node", "main"]
--- a/foxtailworks/keeper/_node.py
+++ b/foxtailworks/keeper/_node.py
@@ -1,57 +1,24 @@
-"""A keeper without its links: agreement, disk and catalogue together."""
+"""A keeper without its links: the catalogue as a replicated machine."""
 
-import dataclasses
-import functools
 import random
+import typing
 
 from foxtailworks import agreement
 from foxtailworks import contracts
-from foxtailworks import errors
-from foxtailworks import ids
 from foxtailworks import journal
+from foxtailworks import replicated
 
-COMPACT_ENTRIES = 512
-"""A snapshot is taken after so many entries."""
-COMPACT_BYTES = 4 << 20
-"""A snapshot is taken when the log file is larger."""
-KEEP_ENTRIES = 128
-"""Entries before a snapshot that stay for slow followers."""
 
+def _restore(index: int, data: bytes | None) -> replicated.Machine:
+    """Return the catalogue in a snapshot, or an empty one."""
+    if data is None:
+        return contracts.Catalogue()
+    return contracts.Catalogue.restore(index, data)
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Decided:
-    """A proposed command was committed and applied."""
 
-    index: int
-    """As given by ``propose``."""
-    outcome: contracts.Outcome | None
-    """What became of an edit; None for other commands."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Displaced:
-    """Another entry stands where a proposed command was."""
-
-    index: int
-    """As given by ``propose``."""
-
-
-Event = (
-    agreement.Send
-    | agreement.ReadReady
-    | agreement.ReadLost
-    | agreement.RoleChanged
-    | Decided
-    | Displaced
-)
-
-
-class Node:
+class Node(replicated.Node):
     """One keeper; its only input and output besides events is the disk.
 
-    After each call the caller takes the events, and calls :meth:`flush`
-    before it waits again: all writes since then share one sync.
-
     :param disk: taken over
     """
 
@@ -61,182 +28,18 @@
         rng: random.Random,
         now: float,
         timing: agreement.Timing | None = None,
-        compact_entries: int = COMPACT_ENTRIES,
+        compact_entries: int = replicated.COMPACT_ENTRIES,
     ) -> None:
-        self.disk = disk
-        self.catalogue = contracts.Catalogue()
-        self._compact_entries = compact_entries
-        self._snapshot_index = 0
-        self._writes: list[journal.Write] = []
-        self._pending: dict[int, int] = {}
-        self._events: list[Event] = []
-        restored = disk.restored
-        if restored.snapshot is not None:
-            self._load(restored.snapshot)
-        self.replica = agreement.Replica(
-            disk.keeper, restored, rng, now, timing
-        )
+        super().__init__(disk, _restore, rng, now, timing, compact_entries)
 
     @property
-    def needs_flush(self) -> bool:
-        """Whether writes wait for :meth:`flush`."""
-        return bool(self._writes)
-
-    def take_events(self) -> list[Event]:
-        """Return the events since the last call."""
-        events, self._events = self._events, []
-        return events
-
-    def found(
-        self, group: str, membership: agreement.Membership, now: float
-    ) -> None:
-        """Create the group."""
-        self._run(self.replica.found(group, membership, now))
-
-    def on_message(
-        self, src: ids.KeeperId, msg: agreement.Message, now: float
-    ) -> None:
-        """Take a message of another keeper."""
-        self._run(self.replica.on_message(src, msg, now))
-
-    def on_tick(self, now: float) -> None:
-        """Let time pass."""
-        self._run(self.replica.on_tick(now))
+    def catalogue(self) -> contracts.Catalogue:
+        """The state of the contracts as of the last applied entry."""
+        return typing.cast(contracts.Catalogue, self.machine)
 
     def propose(self, command: contracts.Command, now: float) -> int:
         """Propose a command; ``Decided`` or ``Displaced`` may follow.
 
-        :raises FoxtailError: ``NOT_LEADER``, ``NO_QUORUM``, ``KEEPER_BUSY``
-        """
-        data = contracts.encode_command(command)
-        index, actions = self.replica.propose((data,), now)
-        self._pending[index] = self.replica.term
-        self._run(actions)
-        return index
-
-    def propose_membership(
-        self, membership: agreement.Membership, now: float
-    ) -> int:
-        """Propose a change of one keeper; events as in :meth:`propose`.
-
-        :raises FoxtailError: as ``Replica.propose_membership``
-        """
-        index, actions = self.replica.propose_membership(membership, now)
-        self._pending[index] = self.replica.term
-        self._run(actions)
-        return index
-
-    def read(self, now: float) -> int:
-        """Ask for a read that can't be stale.
-
-        :raises FoxtailError: ``NOT_LEADER``, ``NO_QUORUM``, ``KEEPER_BUSY``
-        """
-        number, actions = self.replica.read(now)
-        self._run(actions)
-        return number
-
-    def transfer(self, now: float) -> None:
-        """Hand the lead over, if this keeper leads."""
-        self._run(self.replica.transfer(now))
-
-    def flush(self, now: float) -> None:
-        """Write and sync, then do what waited for it.
-
-        :raises FoxtailError: ``JOURNAL_UNWRITABLE``; the node is done
+        :raises FoxtailError: as ``replicated.Node.propose_data``
         """
-        while self._writes:
-            writes, self._writes = self._writes, []
-            self.disk.write(writes)
-            self._run(self.replica.on_persisted(writes[-1].number, now))
-
-    def _run(self, actions: tuple[agreement.Action, ...]) -> None:
-        """Carry out actions in their order."""
-        for item in actions:
-            _carry_out(item, self)
-        self._compact_if_due()
-
-    def keep_write(self, write: journal.Write) -> None:
-        """Keep a write for the next flush."""
-        self._writes.append(write)
-
-    def keep_event(self, event: Event) -> None:
-        """Keep an event for the caller."""
-        self._events.append(event)
-
-    def apply(self, entries: tuple[agreement.Entry, ...]) -> None:
-        """Give committed entries to the catalogue."""
-        for item in entries:
-            outcome = self._apply_one(item)
-            term = self._pending.pop(item.index, None)
-            if term == item.term:
-                self.keep_event(Decided(item.index, outcome))
-            elif term is not None:
-                self.keep_event(Displaced(item.index))
-
-    def restore(self, snapshot: agreement.Snapshot) -> None:
-        """Take over a snapshot that the leader sent."""
-        self._load(snapshot)
-        for index in [key for key in self._pending if key <= snapshot.index]:
-            del self._pending[index]
-            self.keep_event(Displaced(index))
-
-    def _apply_one(self, item: agreement.Entry) -> contracts.Outcome | None:
-        """Apply one entry."""
-        if item.kind is agreement.EntryKind.COMMAND:
-            return self.catalogue.apply(item.index, item.data)
-        self.catalogue.skip(item.index)
-        return None
-
-    def _load(self, snapshot: agreement.Snapshot) -> None:
-        """Set the catalogue to a snapshot."""
-        self._snapshot_index = snapshot.index
-        self.catalogue = contracts.Catalogue.restore(
-            snapshot.index, snapshot.data
-        )
-
-    def _compact_if_due(self) -> None:
-        """Replace old entries by a snapshot."""
-        index = self.catalogue.index
-        grown = index - self._snapshot_index
-        large = self.disk.log_bytes > COMPACT_BYTES and grown > KEEP_ENTRIES
-        if grown < self._compact_entries and not large:
-            return
-        self._snapshot_index = index
-        keep = min(KEEP_ENTRIES, self._compact_entries // 4)
-        data = self.catalogue.snapshot()
-        for item in self.replica.compact(index, data, keep):
-            _carry_out(item, self)
-
-
-@functools.singledispatch
-def _carry_out(action: object, node: Node) -> None:
-    """Do what the agreement asks for."""
-    raise errors.FoxtailError(errors.Code.INTERNAL, "unknown action")
-
-
-@_carry_out.register
-def _(action: agreement.Persist, node: Node) -> None:
-    node.keep_write(action)
-
-
-@_carry_out.register
-def _(action: agreement.PersistSnapshot, node: Node) -> None:
-    node.keep_write(action)
-
-
-@_carry_out.register
-def _(action: agreement.Apply, node: Node) -> None:
-    node.apply(action.entries)
-
-
-@_carry_out.register
-def _(action: agreement.Restore, node: Node) -> None:
-    node.restore(action.snapshot)
-
-
-@_carry_out.register(agreement.Send)
-@_carry_out.register(agreement.ReadReady)
-@_carry_out.register(agreement.ReadLost)
-@_carry_out.register(agreement.RoleChanged)
-def _(action: Event, node: Node) -> None:
-    node.keep_event(action)
+        return self.propose_data(contracts.encode_command(command), now)
--- a/foxtailworks/keeper/_program.py
+++ b/foxtailworks/keeper/_program.py
@@ -20,6 +20,7 @@
 from foxtailworks.keeper import _peers
 from foxtailworks import links
 from foxtailworks import observe
+from foxtailworks import replicated
 from foxtailworks import settings
 
 TICK_S = 0.02
@@ -100,9 +101,12 @@
         """Carry out one event of the node."""
         if isinstance(event, agreement.Send):
             self._send(event)
-        elif isinstance(event, _node.Decided):
-            self._settle(event.index, event.outcome)
-        elif isinstance(event, _node.Displaced):
+        elif isinstance(event, replicated.Decided):
+            self._settle(
+                event.index,
+                typing.cast(contracts.Outcome | None, event.outcome),
+            )
+        elif isinstance(event, replicated.Displaced):
             self._displace(event.index)
         elif isinstance(event, agreement.ReadReady):
             self._settle_read(event.number, True)
--- /dev/null
+++ b/foxtailworks/logs/__init__.py
@@ -0,0 +1,15 @@
+"""One line of key=value pairs for each event.
+
+Apart from the metrics, so that a small process needn't load these.
+
+Example::
+
+    with logs.logging_to(sys.stderr, "info"):
+        logs.Events("edge").info("started", host="edge-1")
+"""
+
+from foxtailworks.logs._events import Events
+from foxtailworks.logs._events import format_fields
+from foxtailworks.logs._events import logging_to
+
+__all__ = ["Events", "format_fields", "logging_to"]
--- a/foxtailworks/observe/__init__.py
+++ b/foxtailworks/observe/__init__.py
@@ -13,9 +13,9 @@
 from foxtailworks.observe._histograms import merge
 from foxtailworks.observe._histograms import OTHER
 from foxtailworks.observe._histograms import percentile
-from foxtailworks.observe._logs import Events
-from foxtailworks.observe._logs import format_fields
-from foxtailworks.observe._logs import logging_to
+from foxtailworks.logs import Events
+from foxtailworks.logs import format_fields
+from foxtailworks.logs import logging_to
 from foxtailworks.observe._messages import CounterLine
 from foxtailworks.observe._messages import DrainAnswer
 from foxtailworks.observe._messages import DrainRequest
