--- /dev/null
+++ b/foxtailworks/discovery/_registry.py
@@ -0,0 +1,221 @@
+"""What one coordinator knows of instances."""
+
+from collections import abc
+import dataclasses
+
+from foxtailworks.discovery import _instance
+from foxtailworks import ids
+
+Key = tuple[_instance.InstanceId, ids.Incarnation]
+
+TOMBSTONE_S = 60.0
+"""An instance that has gone is remembered so long, against late news."""
+MAX_INSTANCES = 16_384
+"""Cap of the table; more are refused and announce themselves again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """A heartbeat that one coordinator passes on to the others."""
+
+    instance: _instance.Instance
+    """What it said."""
+    age_ms: int
+    """How long ago; the receivers' clocks may differ."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """An instance as a coordinator lists it."""
+
+    instance: _instance.Instance
+    """Last news of it."""
+    live: bool
+    """Whether its lease runs."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed in a registry after one of its marks."""
+
+    session: int
+    """Registry that counted; a restart begins another."""
+    since: int
+    """The receiver needs this mark or a later one; 0 is everything."""
+    mark: int
+    """What the receiver has afterwards."""
+    listed: tuple[Listed, ...]
+    """Instances that changed."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Row:
+    """One instance in the table."""
+
+    instance: _instance.Instance
+    """Last news of it."""
+    heard_at: float
+    """When it last announced itself, to anyone."""
+    live: bool
+    """Whether the lease runs."""
+    mark: int
+    """Count of changes when this row last changed."""
+
+
+class Registry:
+    """Takes heartbeats of instances and lets leases run out.
+
+    :param session: differs at each start of the process
+    :param lease_s: an instance unheard for so long is no longer live
+    """
+
+    def __init__(self, session: int, lease_s: float) -> None:
+        self._session = session
+        self._lease_s = lease_s
+        self._rows: dict[Key, _Row] = {}
+        self._mark = 0
+        self._unshared: dict[Key, tuple[_instance.Instance, float]] = {}
+
+    @property
+    def session(self) -> int:
+        """Which run of a coordinator this is."""
+        return self._session
+
+    def rows(self) -> abc.Iterator[Listed]:
+        """Yield every instance, those that have gone included."""
+        return (Listed(r.instance, r.live) for r in self._rows.values())
+
+    def announce(self, instance: _instance.Instance, now: float) -> bool:
+        """Take a heartbeat from the instance itself.
+
+        :returns: false when the table is full
+        """
+        known = instance.key in self._rows
+        if not known and len(self._rows) >= MAX_INSTANCES:
+            return False
+        self._take(instance, now, now)
+        row = self._rows.get(instance.key)
+        if row is not None:
+            self._unshared[instance.key] = (row.instance, now)
+        return True
+
+    def withdraw(self, name: _instance.InstanceId, now: float) -> None:
+        """Take the leave of the newest start under an id."""
+        keys = [key for key in self._rows if key[0] == name]
+        if not keys:
+            return
+        row = self._rows[max(keys, key=lambda key: key[1])]
+        gone = row.instance.with_state(_instance.InstanceState.GONE)
+        self.announce(gone, now)
+
+    def merge(self, heard: abc.Iterable[Heard], now: float) -> None:
+        """Take heartbeats that another coordinator passed on."""
+        for item in heard:
+            if len(self._rows) < MAX_INSTANCES:
+                self._take(item.instance, now - item.age_ms / 1000, now)
+
+    def take_unshared(self, now: float) -> tuple[Heard, ...]:
+        """Return the heartbeats that the others haven't been told."""
+        unshared, self._unshared = self._unshared, {}
+        return tuple(
+            Heard(instance, max(0, round((now - at) * 1000)))
+            for instance, at in unshared.values()
+        )
+
+    def everything(self, now: float) -> tuple[Heard, ...]:
+        """Return all rows, for a coordinator that has just started."""
+        return tuple(
+            Heard(row.instance, max(0, round((now - row.heard_at) * 1000)))
+            for row in self._rows.values()
+        )
+
+    def on_tick(self, now: float) -> None:
+        """Let leases run out and forget what is long gone."""
+        for key, row in list(self._rows.items()):
+            silence = now - row.heard_at
+            if row.live and silence > self._lease_s:
+                row.live = False
+                self._touch(row)
+            elif silence > TOMBSTONE_S:
+                del self._rows[key]
+
+    def postpone(self, gap_s: float) -> None:
+        """Count no time for which this process was stopped."""
+        for row in self._rows.values():
+            row.heard_at += gap_s
+
+    def changes(self, session: int, since: int) -> Changes:
+        """Return what changed after a mark of a session."""
+        if session != self._session or since > self._mark:
+            since = 0
+        listed = tuple(
+            Listed(row.instance, row.live)
+            for row in self._rows.values()
+            if row.mark > since
+        )
+        return Changes(self._session, since, self._mark, listed)
+
+    def _take(
+        self, instance: _instance.Instance, heard_at: float, now: float
+    ) -> None:
+        """Take news of an instance, first-hand or passed on."""
+        if now - heard_at > TOMBSTONE_S or self._is_late(instance, now):
+            return
+        row = self._rows.get(instance.key)
+        if row is None:
+            row = _Row(instance, heard_at, self._is_live(heard_at, now), 0)
+            self._rows[instance.key] = row
+            self._touch(row)
+            self._end_predecessors(instance)
+            return
+        before = (_visible(row.instance), row.live)
+        row.heard_at = max(row.heard_at, heard_at)
+        row.live = self._is_live(row.heard_at, now)
+        if instance.supersedes(row.instance):
+            row.instance = instance
+        if (_visible(row.instance), row.live) != before:
+            self._touch(row)
+
+    def _is_live(self, heard_at: float, now: float) -> bool:
+        """Tell whether a lease that began then still runs."""
+        return now - heard_at <= self._lease_s
+
+    def _is_late(self, instance: _instance.Instance, now: float) -> bool:
+        """Tell whether a later start holds the id or the address."""
+        for key, row in self._rows.items():
+            other = row.instance
+            same = (
+                other.instance == instance.instance
+                or other.address == instance.address
+            )
+            if not same or key[1] <= instance.incarnation:
+                continue
+            ended = other.state is _instance.InstanceState.GONE
+            if other.instance == instance.instance or (row.live and not ended):
+                return True
+        return False
+
+    def _end_predecessors(self, instance: _instance.Instance) -> None:
+        """End earlier starts under the same id or address."""
+        for row in self._rows.values():
+            other = row.instance
+            same = (
+                other.instance == instance.instance
+                or other.address == instance.address
+            )
+            ended = other.state is _instance.InstanceState.GONE
+            if same and not ended and other.incarnation < instance.incarnation:
+                row.instance = other.with_state(_instance.InstanceState.GONE)
+                self._touch(row)
+
+    def _touch(self, row: _Row) -> None:
+        """Count a change."""
+        self._mark += 1
+        row.mark = self._mark
+
+
+def _visible(instance: _instance.Instance) -> _instance.Instance:
+    """Return what edge hosts must be told of: all but the counters."""
+    return dataclasses.replace(
+        instance, sequence=0, cold_ms=1 if instance.cold_ms else 0
+    )
--- /dev/null
+++ b/foxtailworks/edge/__init__.py
@@ -0,0 +1,13 @@
+"""An entry host for fabrics whose packets carry a token.
+
+Example::
+
+    async with edge.opened(cfg, clock, rng) as host:
+        decision = host.steering.open(flow, destination, 0, clock())
+"""
+
+from foxtailworks.edge._host import Host
+from foxtailworks.edge._host import opened
+from foxtailworks.edge._host import Settings
+
+__all__ = ["Host", "Settings", "opened"]
--- /dev/null
+++ b/foxtailworks/edge/_host.py
@@ -0,0 +1,182 @@
+"""One edge host: polls all coordinators and steers packets."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+import random
+
+from foxtailworks import datagram
+from foxtailworks import discovery
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import logs
+from foxtailworks import polling
+from foxtailworks import service
+from foxtailworks import steering
+
+TICK_S = 0.05
+"""A third of the time after which an unanswered opening is a miss."""
+POLL_S = 0.25
+"""Each coordinator is asked so often: a change is known within the sum of
+this and the agreement's heartbeat, far below the seconds allowed."""
+SETTLE_S = 1.0
+"""A host that has just started waits at most so long for the coordinators
+that haven't answered, before it calls itself ready."""
+FORGET_S = 60.0
+"""A coordinator silent for so long is polled no more, unless a seed."""
+MAX_COORDINATORS = 64
+"""Cap of the addresses polled."""
+
+_EVENTS = logs.Events("edge")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of one edge host."""
+
+    host: ids.HostId
+    """Its name."""
+    zone: ids.ZoneId
+    """Its availability zone."""
+    peer_address: ids.Address
+    """UDP, where coordinators' answers come."""
+    seeds: tuple[ids.Address, ...]
+    """Listen addresses of coordinators to begin with."""
+
+    def __post_init__(self) -> None:
+        """Refuse settings without a way to the coordinators."""
+        if not self.seeds:
+            raise errors.FoxtailError(
+                errors.Code.SETTINGS_INVALID, "seeds: at least one is needed"
+            )
+
+
+class Host:
+    """Driven by packets, datagrams and time.
+
+    :param clock: seconds that also pass while the process is stopped
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: abc.Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self.roster = discovery.Roster()
+        self.steering = steering.Steering(self.roster, rng)
+        self._started_at = clock()
+        self._seeds = frozenset(cfg.seeds)
+        self._heard = dict.fromkeys(cfg.seeds, self._started_at)
+        self._answered: set[ids.Address] = set()
+        self._poll_at = 0.0
+        self._endpoint: datagram.Endpoint | None = None
+        self._leaving = False
+
+    def attach(self, endpoint: datagram.Endpoint) -> None:
+        """Send through ``endpoint`` from now on."""
+        self._endpoint = endpoint
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers' packets should come here."""
+        if self._leaving or not self.steering.revision:
+            return False
+        if self._answered.issuperset(self._heard):
+            return True
+        return self._clock() - self._started_at > SETTLE_S
+
+    def withdraw(self) -> None:
+        """Take no new callers; packets that still come are served."""
+        self._leaving = True
+
+    def put_seeds(self, seeds: tuple[ids.Address, ...]) -> None:
+        """Take other seeds after a change of the settings."""
+        self._seeds = frozenset(seeds)
+        for address in seeds:
+            self._heard.setdefault(address, self._clock())
+
+    def take(self, msg: object, src: ids.Address) -> None:
+        """Take a coordinator's answer."""
+        if not isinstance(msg, polling.PollAnswer):
+            _EVENTS.warning("message_unexpected", kind=type(msg).__name__)
+            return
+        now = self._clock()
+        self._heard[src] = now
+        self._answered.add(src)
+        if not self.roster.merge(src, msg.changes, now):
+            _EVENTS.debug("changes_missed", coordinator=src)
+        self._learn(msg.coordinators, now)
+        if msg.table and msg.revision > self.steering.revision:
+            self._put_routes(msg, src)
+
+    def on_tick(self, now: float) -> None:
+        """Let time pass."""
+        self.steering.on_tick(now)
+        if now < self._poll_at:
+            return
+        self._poll_at = now + POLL_S
+        self.roster.on_tick(now)
+        self._forget(now)
+        for address in self._heard:
+            self._poll(address)
+
+    def _poll(self, address: ids.Address) -> None:
+        """Ask one coordinator what is new."""
+        assert self._endpoint is not None
+        session, mark = self.roster.progress(address)
+        msg = polling.Poll(
+            self._cfg.host, session, mark, self.steering.revision
+        )
+        self._endpoint.send(msg, address)
+
+    def _put_routes(self, msg: polling.PollAnswer, src: ids.Address) -> None:
+        """Put new routes in force."""
+        try:
+            table = steering.decode_table(msg.table)
+        except errors.FoxtailError as exc:
+            _EVENTS.failed("routes_unreadable", exc)
+            return
+        if self.steering.put_routes(table):
+            _EVENTS.info(
+                "routes_in_force",
+                revision=table.revision,
+                routes=len(table.routes),
+                coordinator=src,
+            )
+
+    def _learn(self, addresses: abc.Iterable[ids.Address], now: float) -> None:
+        """Poll the coordinators that another one names, too."""
+        for address in addresses:
+            if len(self._heard) < MAX_COORDINATORS:
+                self._heard.setdefault(address, now)
+
+    def _forget(self, now: float) -> None:
+        """Poll no more who is long silent."""
+        for address, heard_at in list(self._heard.items()):
+            if address not in self._seeds and now - heard_at > FORGET_S:
+                del self._heard[address]
+                self._answered.discard(address)
+
+
+@contextlib.asynccontextmanager
+async def opened(
+    cfg: Settings,
+    clock: abc.Callable[[], float],
+    rng: random.Random,
+    stop: asyncio.Event,
+) -> abc.AsyncIterator[Host]:
+    """Run an edge host until the end of the block.
+
+    :param stop: set when a fault has ended the host
+    """
+    host = Host(cfg, clock, rng)
+    async with datagram.open_endpoint(
+        cfg.peer_address, polling.CODEC, host.take, clock
+    ) as endpoint:
+        host.attach(endpoint)
+        async with service.ticking(host.on_tick, TICK_S, clock, stop):
+            yield host
--- /dev/null
+++ b/foxtailworks/httpd/_server.py
@@ -0,0 +1,212 @@
+"""Connections of one listening socket."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+import socket
+import typing
+
+import h11
+
+from foxtailworks import ids
+from foxtailworks import logs
+
+BACKLOG = 256
+"""Connections that wait to be accepted: all upstreams at once."""
+READ_BYTES = 64 << 10
+"""Taken from a socket at once."""
+USER_TIMEOUT_MS = 3000
+"""A peer that acknowledges nothing for so long is cut off."""
+
+_EVENTS = logs.Events("httpd")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What one connection may use."""
+
+    body_bytes: int = 1 << 20
+    """Largest body; a larger one is answered with 413."""
+    header_bytes: int = 16 << 10
+    """Largest head."""
+    idle_s: float = 10.0
+    """A connection without a whole request for so long is closed."""
+    connections: int = 1024
+    """Open at once; more are closed at once."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request, read in full."""
+
+    method: str
+    """Upper case."""
+    path: str
+    """Without the query."""
+    body: bytes
+    """May be empty."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """One response, written in full."""
+
+    status: int
+    """Status code."""
+    body: bytes = b""
+    """May be empty."""
+    headers: tuple[tuple[str, str], ...] = ()
+    """Besides those that say how the body is sent."""
+
+
+Handle: typing.TypeAlias = abc.Callable[[Request], abc.Awaitable[Response]]
+
+_TOO_LARGE = Response(413, b'{"error":"the body is too large"}')
+_MALFORMED = Response(400, b'{"error":"not an HTTP/1.1 request"}')
+_FAULT = Response(500, b'{"error":"a fault of the program"}')
+
+
+class _TooLarge(Exception):
+    """A body over its limit."""
+
+
+class _Connection:
+    """Reads requests and writes responses, one after the other."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handle: Handle,
+        limits: Limits,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._handle = handle
+        self._limits = limits
+        self._conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+
+    async def run(self) -> None:
+        """Serve until either side closes."""
+        while True:
+            try:
+                req = await self._read()
+            except _TooLarge:
+                await self._write(_TOO_LARGE, "GET")
+                return
+            except h11.RemoteProtocolError:
+                await self._write(_MALFORMED, "GET")
+                return
+            if req is None:
+                return
+            await self._write(await self._respond(req), req.method)
+            if self._conn.our_state is not h11.DONE:
+                return
+            self._conn.start_next_cycle()
+
+    async def _respond(self, req: Request) -> Response:
+        """Return the handler's response; a fault ends only the request."""
+        try:
+            return await self._handle(req)
+        except Exception as exc:
+            # Whatever a handler raises must not end the process.
+            _EVENTS.error("request_fault", path=req.path, reason=repr(exc))
+            return _FAULT
+
+    async def _read(self) -> Request | None:
+        """Return the next whole request; None at the end."""
+        head: h11.Request | None = None
+        body = bytearray()
+        async with asyncio.timeout(self._limits.idle_s):
+            while True:
+                event = self._conn.next_event()
+                if event is h11.NEED_DATA:
+                    data = await self._reader.read(READ_BYTES)
+                    self._conn.receive_data(data)
+                elif isinstance(event, h11.Request):
+                    head = event
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > self._limits.body_bytes:
+                        raise _TooLarge
+                elif isinstance(event, h11.EndOfMessage):
+                    assert head is not None
+                    return _request(head, bytes(body))
+                else:
+                    return None
+
+    async def _write(self, res: Response, method: str) -> None:
+        """Write one response."""
+        headers = [
+            *res.headers,
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(res.body))),
+        ]
+        if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        out = self._conn.send(
+            h11.Response(status_code=res.status, headers=headers)
+        )
+        data = out or b""
+        if method != "HEAD":
+            data += self._conn.send(h11.Data(data=res.body)) or b""
+        data += self._conn.send(h11.EndOfMessage()) or b""
+        self._writer.write(data)
+        async with asyncio.timeout(self._limits.idle_s):
+            await self._writer.drain()
+
+
+def _request(head: h11.Request, body: bytes) -> Request:
+    """Return a request in the types of this module."""
+    target = head.target.decode("ascii", "replace")
+    return Request(head.method.decode("ascii"), target.split("?")[0], body)
+
+
+def _set_up(writer: asyncio.StreamWriter) -> None:
+    """Notice a peer that is gone without a word."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    address: ids.Address, handle: Handle, limits: Limits | None = None
+) -> abc.AsyncIterator[None]:
+    """Listen until the end of the block; open requests are then dropped."""
+    bounds = limits or Limits()
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        if len(tasks) >= bounds.connections:
+            _EVENTS.warning("connection_refused", open=len(tasks))
+            writer.transport.abort()
+            return
+        tasks.add(task)
+        try:
+            _set_up(writer)
+            await _Connection(reader, writer, handle, bounds).run()
+        except (OSError, TimeoutError, asyncio.CancelledError) as exc:
+            _EVENTS.debug("connection_ended", reason=repr(exc))
+        finally:
+            tasks.discard(task)
+            writer.close()
+
+    server = await asyncio.start_server(
+        accept, address.ip, address.port, backlog=BACKLOG
+    )
+    try:
+        yield
+    finally:
+        server.close()
+        for task in tuple(tasks):
+            task.cancel()
--- a/foxtailworks/observe/__init__.py
+++ b/foxtailworks/observe/__init__.py
@@ -6,6 +6,9 @@
         observe.Events("entry").info("flow_placed", upstream="127.0.0.1:1")
 """
 
+from foxtailworks.logs import Events
+from foxtailworks.logs import format_fields
+from foxtailworks.logs import logging_to
 from foxtailworks.observe._histograms import Bucket
 from foxtailworks.observe._histograms import Histograms
 from foxtailworks.observe._histograms import HistogramSnapshot
@@ -13,9 +16,6 @@
 from foxtailworks.observe._histograms import merge
 from foxtailworks.observe._histograms import OTHER
 from foxtailworks.observe._histograms import percentile
-from foxtailworks.logs import Events
-from foxtailworks.logs import format_fields
-from foxtailworks.logs import logging_to
 from foxtailworks.observe._messages import CounterLine
 from foxtailworks.observe._messages import DrainAnswer
 from foxtailworks.observe._messages import DrainRequest
--- /dev/null
+++ b/foxtailworks/service/__init__.py
@@ -0,0 +1,21 @@
+"""What small processes share: clock, signals, settings that change.
+
+Lighter than :mod:`foxtailworks.daemon`, which brings a command line and
+checked settings files.
+
+Example::
+
+    async def main(stop: asyncio.Event) -> None:
+        async with service.ticking(core.on_tick, 0.05, service.clock, stop):
+            await stop.wait()
+
+    sys.exit(service.run(main))
+"""
+
+from foxtailworks.service._service import clock
+from foxtailworks.service._service import EXIT_FAULT
+from foxtailworks.service._service import run
+from foxtailworks.service._service import ticking
+from foxtailworks.service._service import watching
+
+__all__ = ["EXIT_FAULT", "clock", "run", "ticking", "watching"]
--- /dev/null
+++ b/foxtailworks/steering/__init__.py
@@ -0,0 +1,54 @@
+"""Flows that carry a token of their upstream: no flow table to lose.
+
+Where the packets of both ends carry a few bytes that the system may choose,
+the opening packet is given a token of the upstream that it is placed on,
+and each later packet is routed by its token alone, by any edge host.
+
+Example::
+
+    steering = steering.Steering(roster, rng, config)
+    steering.put_routes(table)
+    decision = steering.open(flow, destination, copy=0, now=now)
+"""
+
+from foxtailworks.steering._choice import Chooser
+from foxtailworks.steering._config import Config
+from foxtailworks.steering._decisions import Decision
+from foxtailworks.steering._decisions import Drop
+from foxtailworks.steering._decisions import Forward
+from foxtailworks.steering._decisions import Reason
+from foxtailworks.steering._decisions import Reset
+from foxtailworks.steering._flows import FlowKey
+from foxtailworks.steering._routes import decode_table
+from foxtailworks.steering._routes import encode_table
+from foxtailworks.steering._routes import RequestKind
+from foxtailworks.steering._routes import Route
+from foxtailworks.steering._routes import RouteTable
+from foxtailworks.steering._routes import Share
+from foxtailworks.steering._steering import Packet
+from foxtailworks.steering._steering import Steering
+from foxtailworks.steering._tokens import Token
+from foxtailworks.steering._tokens import token_of
+from foxtailworks.steering._tokens import Tokens
+
+__all__ = [
+    "Chooser",
+    "Config",
+    "Decision",
+    "Drop",
+    "FlowKey",
+    "Forward",
+    "Packet",
+    "Reason",
+    "RequestKind",
+    "Reset",
+    "Route",
+    "RouteTable",
+    "Share",
+    "Steering",
+    "Token",
+    "Tokens",
+    "decode_table",
+    "encode_table",
+    "token_of",
+]
--- /dev/null
+++ b/foxtailworks/steering/_config.py
@@ -0,0 +1,30 @@
+"""Times and bounds of steering."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Config:
+    """Durations in seconds unless the name says otherwise."""
+
+    answer_s: float = 0.15
+    """An opening packet unanswered for so long is a miss: below the 200 ms
+    after which a caller sends a copy, far above any round trip."""
+    misses: int = 2
+    """Misses in a row after which an upstream is avoided."""
+    back_off_s: float = 1.0
+    """First back-off; doubles up to ``max_back_off_s``."""
+    max_back_off_s: float = 8.0
+    """Longest back-off; a cut that has healed is noticed within it."""
+    closed_s: float = 2.0
+    """A closed flow is remembered so long, so that its last packets don't
+    count as an open one."""
+    opening_s: float = 1.5
+    """A caller gives an opening up after 1.4 s."""
+    exit_s: float = 1.0
+    """An upstream that has taken its leave ends within it; its flows are
+    reset only afterwards, so that it may still end them itself."""
+    max_flows: int = 200_000
+    """Flows remembered; 200 bytes each. Routing needs none of them."""
+    cold_load: float = 0.5
+    """Load, in slots per slot, added to a cold upstream's own."""
