--- a/foxtailworks/discovery/_instance.py
+++ b/foxtailworks/discovery/_instance.py
@@ -10,7 +10,7 @@
 # Chosen by the upstream; a later start may carry the same one.
 
 
-class InstanceState(enum.IntEnum):
+class InstanceState(enum.Enum):
     """How far an instance is; it never goes back."""
 
     READY = 0
@@ -52,8 +52,8 @@
 
     def supersedes(self, other: "Instance") -> bool:
         """Tell whether this is later news of the same start."""
-        mine = (self.state, self.sequence)
-        return mine > (other.state, other.sequence)
+        mine = (self.state.value, self.sequence)
+        return mine > (other.state.value, other.sequence)
 
     def with_state(self, state: InstanceState) -> "Instance":
         """Return a copy in another state."""
