Keep the live instances in a file of each coordinator

Change: discovery's live instances are written to a file at most once a second, and believed for 2 s after a restart; a slow disk is spared.

--- /dev/null
+++ b/foxtailworks/coordinator/_hints.py
@@ -0,0 +1,85 @@
+"""Instances as of a little ago, for the start after a loss of power."""
+
+from collections import abc
+import dataclasses
+import os
+import pathlib
+
+from foxtailworks import discovery
+from foxtailworks import errors
+from foxtailworks import logs
+from foxtailworks import wire
+
+NAME = ".instances"
+"""A name that the journal in the same folder leaves alone."""
+SAVE_S = 1.0
+"""Changes are collected so long before they are written."""
+SLOW_S = 0.03
+"""A write that took longer shows a slow disk."""
+REST_S = 10.0
+"""A slow or refusing disk is spared so long: hints are worth little."""
+
+_EVENTS = logs.Events("hints")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Saved:
+    """Content of the file."""
+
+    instances: tuple[discovery.Instance, ...]
+    """Those that were live, and what has gone lately."""
+
+
+_CODEC = wire.Codec({1: _Saved}, limit=16 << 20)
+
+
+class Hints:
+    """Keeps the instances in a file; losing it costs a second, no promise.
+
+    :param folder: the coordinator's data folder
+    :param clock: steady seconds
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, clock: abc.Callable[[], float]
+    ) -> None:
+        self._path = folder / NAME
+        self._clock = clock
+        self._saved_mark = 0
+        self._due_at = clock() + SAVE_S
+
+    def load(self) -> tuple[discovery.Instance, ...]:
+        """Return what was saved; nothing when it can't be read."""
+        try:
+            saved: _Saved = _CODEC.decode(self._path.read_bytes())
+        except FileNotFoundError:
+            return ()
+        except (OSError, errors.FoxtailError) as exc:
+            _EVENTS.warning("hints_unreadable", reason=str(exc))
+            return ()
+        return saved.instances
+
+    def save_if_due(self, registry: discovery.Registry, now: float) -> None:
+        """Write what has changed, at most once in a while."""
+        if now < self._due_at or registry.mark == self._saved_mark:
+            return
+        self._due_at = now + SAVE_S
+        instances = tuple(i.instance for i in registry.rows() if i.live)
+        try:
+            self._write(_CODEC.encode(_Saved(instances)))
+        except OSError as exc:
+            _EVENTS.warning("hints_unwritten", reason=exc.strerror)
+            self._due_at = now + REST_S
+            return
+        self._saved_mark = registry.mark
+        if self._clock() - now > SLOW_S:
+            self._due_at = now + REST_S
+
+    def _write(self, data: bytes) -> None:
+        """Replace the file by a whole one."""
+        aside = self._path.with_name(NAME + ".new")
+        with open(aside, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.rename(aside, self._path)
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -10,6 +10,7 @@
 
 from foxtailworks import agreement
 from foxtailworks.coordinator import _documents
+from foxtailworks.coordinator import _hints
 from foxtailworks.coordinator import _messages
 from foxtailworks.coordinator import _peers
 from foxtailworks.coordinator import _settings
@@ -82,6 +83,9 @@
         self.node: replicated.Node | None = None
         self.documents: _documents.Documents | None = None
         self._open_disk(now)
+        self._hints = _hints.Hints(cfg.data_folder, clock)
+        if not cfg.is_first_start:
+            self.registry.recall(self._hints.load(), now)
 
     # The disk and the node on it.
 
@@ -270,6 +274,7 @@
         self._share(now)
         self._keep_whole(now)
         self.pump()
+        self._hints.save_if_due(self.registry, now)
 
     def _tell_presence(self, now: float) -> None:
         """Tell the others that this coordinator is there."""
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -10,6 +10,9 @@
 
 TOMBSTONE_S = 60.0
 """An instance that has gone is remembered so long, against late news."""
+RECALL_S = 2.0
+"""What was known before a restart is believed so long: each instance has
+announced itself again by then."""
 MAX_INSTANCES = 16_384
 """Cap of the table; more are refused and announce themselves again."""
 
@@ -81,6 +84,19 @@
         """Which run of a coordinator this is."""
         return self._session
 
+    @property
+    def mark(self) -> int:
+        """Count of changes."""
+        return self._mark
+
+    def recall(
+        self, instances: abc.Iterable[_instance.Instance], now: float
+    ) -> None:
+        """Take what was known before a restart, for a short while."""
+        heard_at = now - max(0.0, self._lease_s - RECALL_S)
+        for item in instances:
+            self._take(item, heard_at, now)
+
     def rows(self) -> abc.Iterator[Listed]:
         """Yield every instance, those that have gone included."""
         return (Listed(r.instance, r.live) for r in self._rows.values())
--- a/foxtailworks/journal/_files.py
+++ b/foxtailworks/journal/_files.py
@@ -72,7 +72,7 @@
     def names(self) -> list[str]:
         """Return the names of all files."""
         found = (item.name for item in self._folder.iterdir())
-        return sorted(name for name in found if name != _LOCK_NAME)
+        return sorted(name for name in found if _is_ours(name))
 
     def read(self, name: str) -> bytes:
         """Return the whole of a file."""
@@ -137,6 +137,11 @@
         return self._open[name]
 
 
+def _is_ours(name: str) -> bool:
+    """Tell whether a file is the journal's; others have dotted names."""
+    return name != _LOCK_NAME and not name.startswith(".")
+
+
 def _no_sync(_fd: int) -> None:
     """Stand in for a sync."""
 
