Hold openings until routes are there; place unanswered ones again

After the loss of all power hosts were up at 45.3 s and taken into rotation by 46.2 s only: readiness waited for all coordinators, and routers ask twice a second. Ruled out: avoiding a zone as soon as its coordinators are silent; a dead coordinator alone would turn its zone's upstreams away.

--- a/foxtailworks/edge/__init__.py
+++ b/foxtailworks/edge/__init__.py
@@ -2,8 +2,8 @@
 
 Example::
 
-    async with edge.opened(cfg, clock, rng) as host:
-        decision = host.steering.open(flow, destination, 0, clock())
+    async with edge.opened(cfg, clock, rng, pass_on, stop) as host:
+        decision = host.steering.open(opening, clock())
 """
 
 from foxtailworks.edge._host import Host
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -15,14 +15,17 @@
 from foxtailworks import service
 from foxtailworks import steering
 
-TICK_S = 0.05
-"""A third of the time after which an unanswered opening is a miss."""
+TICK_S = 0.02
+"""Half the time after which an unanswered opening is placed again."""
 POLL_S = 0.25
 """Each coordinator is asked so often: a change is known within the sum of
 this and the agreement's heartbeat, far below the seconds allowed."""
-SETTLE_S = 1.0
-"""A host that has just started waits at most so long for the coordinators
-that haven't answered, before it calls itself ready."""
+FIRST_POLL_S = 0.06
+"""The same while this host has no routes and can do nothing else."""
+STARTING_S = 1.0
+"""A host that has just started calls itself ready so long without routes:
+routers ask twice a second, routes come within a tenth of one, and openings
+that come before are held."""
 FORGET_S = 60.0
 """A coordinator silent for so long is polled no more, unless a seed."""
 MAX_COORDINATORS = 64
@@ -56,6 +59,7 @@
     """Driven by packets, datagrams and time.
 
     :param clock: seconds that also pass while the process is stopped
+    :param pass_on: carries out what became of openings that had to wait
     """
 
     def __init__(
@@ -63,17 +67,18 @@
         cfg: Settings,
         clock: abc.Callable[[], float],
         rng: random.Random,
+        pass_on: abc.Callable[[steering.Due], None],
     ) -> None:
         self._cfg = cfg
         self._clock = clock
         self.roster = discovery.Roster()
-        self.steering = steering.Steering(self.roster, rng)
+        self.steering = steering.Steering(self.roster, cfg.zone, rng)
         self._started_at = clock()
         self._seeds = frozenset(cfg.seeds)
         self._heard = dict.fromkeys(cfg.seeds, self._started_at)
-        self._answered: set[ids.Address] = set()
         self._poll_at = 0.0
         self._endpoint: datagram.Endpoint | None = None
+        self._pass_on = pass_on
         self._leaving = False
 
     def attach(self, endpoint: datagram.Endpoint) -> None:
@@ -83,11 +88,10 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers' packets should come here."""
-        if self._leaving or not self.steering.revision:
+        if self._leaving:
             return False
-        if self._answered.issuperset(self._heard):
-            return True
-        return self._clock() - self._started_at > SETTLE_S
+        is_starting = self._clock() - self._started_at < STARTING_S
+        return is_starting or bool(self.steering.revision)
 
     def withdraw(self) -> None:
         """Take no new callers; packets that still come are served."""
@@ -106,7 +110,6 @@
             return
         now = self._clock()
         self._heard[src] = now
-        self._answered.add(src)
         if not self.roster.merge(src, msg.changes, now):
             _EVENTS.debug("changes_missed", coordinator=src)
         self._learn(msg.coordinators, now)
@@ -115,10 +118,12 @@
 
     def on_tick(self, now: float) -> None:
         """Let time pass."""
-        self.steering.on_tick(now)
+        for due in self.steering.on_tick(now):
+            self._pass_on(due)
         if now < self._poll_at:
             return
-        self._poll_at = now + POLL_S
+        is_new = not self.steering.revision
+        self._poll_at = now + (FIRST_POLL_S if is_new else POLL_S)
         self.roster.on_tick(now)
         self._forget(now)
         for address in self._heard:
@@ -159,7 +164,6 @@
         for address, heard_at in list(self._heard.items()):
             if address not in self._seeds and now - heard_at > FORGET_S:
                 del self._heard[address]
-                self._answered.discard(address)
 
 
 @contextlib.asynccontextmanager
@@ -167,13 +171,14 @@
     cfg: Settings,
     clock: abc.Callable[[], float],
     rng: random.Random,
+    pass_on: abc.Callable[[steering.Due], None],
     stop: asyncio.Event,
 ) -> abc.AsyncIterator[Host]:
     """Run an edge host until the end of the block.
 
     :param stop: set when a fault has ended the host
     """
-    host = Host(cfg, clock, rng)
+    host = Host(cfg, clock, rng, pass_on)
     async with datagram.open_endpoint(
         cfg.peer_address, polling.CODEC, host.take, clock
     ) as endpoint:
--- a/foxtailworks/steering/__init__.py
+++ b/foxtailworks/steering/__init__.py
@@ -6,9 +6,9 @@
 
 Example::
 
-    steering = steering.Steering(roster, rng, config)
-    steering.put_routes(table)
-    decision = steering.open(flow, destination, copy=0, now=now)
+    made = steering.Steering(roster, zone, rng)
+    made.put_routes(table)
+    decision = made.open(opening, now)
 """
 
 from foxtailworks.steering._choice import Chooser
@@ -19,12 +19,14 @@
 from foxtailworks.steering._decisions import Reason
 from foxtailworks.steering._decisions import Reset
 from foxtailworks.steering._flows import FlowKey
+from foxtailworks.steering._openings import Opening
 from foxtailworks.steering._routes import decode_table
 from foxtailworks.steering._routes import encode_table
 from foxtailworks.steering._routes import RequestKind
 from foxtailworks.steering._routes import Route
 from foxtailworks.steering._routes import RouteTable
 from foxtailworks.steering._routes import Share
+from foxtailworks.steering._steering import Due
 from foxtailworks.steering._steering import Packet
 from foxtailworks.steering._steering import Steering
 from foxtailworks.steering._tokens import Token
@@ -36,8 +38,10 @@
     "Config",
     "Decision",
     "Drop",
+    "Due",
     "FlowKey",
     "Forward",
+    "Opening",
     "Packet",
     "Reason",
     "RequestKind",
--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -7,9 +7,19 @@
 class Config:
     """Durations in seconds unless the name says otherwise."""
 
-    answer_s: float = 0.15
-    """An opening packet unanswered for so long is a miss: below the 200 ms
-    after which a caller sends a copy, far above any round trip."""
+    answer_min_s: float = 0.04
+    """An opening unanswered for so long is placed again: several round
+    trips, and below the 200 ms after which a caller sends a copy."""
+    answer_max_s: float = 0.15
+    """The same at most, while answers are seen to take long."""
+    answer_factor: float = 4.0
+    """Patience, in times that an answer usually takes."""
+    answer_share: float = 0.1
+    """Weight of the newest answer in the usual time."""
+    placements: int = 3
+    """Upstreams that one opening and its copies are tried at, each once."""
+    max_held: int = 4096
+    """Openings that wait for routes; more are dropped."""
     misses: int = 2
     """Misses in a row after which an upstream is avoided."""
     back_off_s: float = 1.0
--- a/foxtailworks/steering/_flows.py
+++ b/foxtailworks/steering/_flows.py
@@ -36,6 +36,8 @@
     """When it counts no more unless a packet comes."""
     tried: tuple[InstanceKey, ...]
     """Upstreams that its opening packets went to."""
+    placed_at: float = 0.0
+    """When the last of them went out; 0 when this host didn't see it."""
 
 
 class Flows:
@@ -62,10 +64,8 @@
         """Note an opening packet that was placed."""
         old = self._flows.get(key)
         tried = (*old.tried, upstream) if old is not None else (upstream,)
-        self._put(
-            key,
-            Flow(upstream, Phase.OPENING, now + self._cfg.opening_s, tried),
-        )
+        until = now + self._cfg.opening_s
+        self._put(key, Flow(upstream, Phase.OPENING, until, tried, now))
 
     def seen(
         self, key: FlowKey, upstream: InstanceKey, until: float
--- /dev/null
+++ b/foxtailworks/steering/_openings.py
@@ -0,0 +1,83 @@
+"""Opening packets that wait: for routes, or for an answer."""
+
+import collections
+from collections import abc
+import dataclasses
+
+from foxtailworks import ids
+from foxtailworks.steering import _config
+from foxtailworks.steering import _flows
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opening:
+    """A caller's opening packet."""
+
+    flow: _flows.FlowKey
+    """Which flow."""
+    destination: ids.Address
+    """What the caller sent it to."""
+    copy: int
+    """0 for the first, then 1, 2 for the caller's copies."""
+    packet: bytes
+    """As it came; passed on when it is placed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """An opening that was passed on and isn't answered yet."""
+
+    opening: Opening
+    """What was passed on."""
+    upstream: _flows.InstanceKey
+    """Where to."""
+    at: float
+    """When."""
+
+
+class Openings:
+    """Keeps openings until they are due; bounded."""
+
+    def __init__(self, config: _config.Config) -> None:
+        self._cfg = config
+        self._held: dict[_flows.FlowKey, tuple[float, Opening]] = {}
+        self._placed: collections.deque[tuple[float, Placed]]
+        self._placed = collections.deque()
+        self._answer_s = config.answer_min_s / config.answer_factor
+
+    def hold(self, opening: Opening, now: float) -> bool:
+        """Keep an opening that can't be placed yet; false when full."""
+        if len(self._held) >= self._cfg.max_held:
+            return False
+        until = now + self._cfg.opening_s
+        self._held.setdefault(opening.flow, (until, opening))
+        return True
+
+    def release(self, now: float) -> abc.Iterator[Opening]:
+        """Yield what was held and is still worth placing."""
+        held, self._held = self._held, {}
+        return (item for until, item in held.values() if now < until)
+
+    def placed(
+        self, opening: Opening, upstream: _flows.InstanceKey, now: float
+    ) -> None:
+        """Wait for an answer to an opening."""
+        patience = min(
+            self._cfg.answer_max_s,
+            max(
+                self._cfg.answer_min_s,
+                self._cfg.answer_factor * self._answer_s,
+            ),
+        )
+        item = Placed(opening, upstream, now)
+        self._placed.append((now + patience, item))
+
+    def answered(self, after_s: float) -> None:
+        """Learn how long an answer takes, as seen from this host."""
+        share = self._cfg.answer_share
+        self._answer_s += share * (after_s - self._answer_s)
+
+    def unanswered(self, now: float) -> abc.Iterator[Placed]:
+        """Yield the openings that were given enough time."""
+        while self._placed and self._placed[0][0] <= now:
+            yield self._placed.popleft()[1]
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -1,5 +1,6 @@
 """Where each packet goes; no socket, file or clock."""
 
+from collections import abc
 import dataclasses
 import random
 
@@ -9,6 +10,7 @@
 from foxtailworks.steering import _config
 from foxtailworks.steering import _decisions
 from foxtailworks.steering import _flows
+from foxtailworks.steering import _openings
 from foxtailworks.steering import _routes
 from foxtailworks.steering import _silence
 from foxtailworks.steering import _tokens
@@ -30,25 +32,39 @@
     """The caller sends nothing new after this packet."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Due:
+    """An opening packet that has waited, and what to do with it now."""
+
+    packet: bytes
+    """As it came."""
+    decision: _decisions.Decision
+    """Where it goes."""
+
+
 class Steering:
     """Decides for each packet of callers.
 
     :param roster: kept up to date by the caller
+    :param zone: availability zone of this host
     :param rng: decides ties
     """
 
     def __init__(
         self,
         roster: discovery.Roster,
+        zone: ids.ZoneId,
         rng: random.Random,
         config: _config.Config | None = None,
     ) -> None:
         self._cfg = config or _config.Config()
         self._roster = roster
+        self._zone = zone
         self._rng = rng
         self._tokens = _tokens.Tokens(roster)
         self._flows = _flows.Flows(self._cfg)
         self._silence = _silence.Silence(self._cfg)
+        self._openings = _openings.Openings(self._cfg)
         self._chooser = _choice.Chooser(self._flows.open_at, rng, self._cfg)
         self._routes: dict[ids.Address, _routes.Route] = {}
         self.revision = 0
@@ -67,33 +83,21 @@
         return True
 
     def open(
-        self,
-        flow: _flows.FlowKey,
-        destination: ids.Address,
-        copy: int,
-        now: float,
+        self, opening: _openings.Opening, now: float
     ) -> _decisions.Decision:
-        """Place an opening packet.
-
-        :param copy: 0 for the first, then 1, 2 for the caller's copies
-        """
+        """Place an opening packet, or keep it until that is possible."""
         if not self.revision:
+            if opening.copy == 0:
+                self._openings.hold(opening, now)
             return _decisions.Drop(_Reason.NOT_READY)
-        route = self._routes.get(destination)
+        route = self._routes.get(opening.destination)
         if route is None:
             # A route that was just added may be on its way here: the
             # caller's next copy is answered for certain.
-            if copy == 0:
+            if opening.copy == 0:
                 return _decisions.Drop(_Reason.NO_ROUTE)
             return _decisions.Reset(_Reason.NO_ROUTE)
-        chosen = self._choose(flow, route, now)
-        if chosen is None:
-            return _decisions.Reset(_Reason.NO_UPSTREAM)
-        key = chosen.instance.key
-        self._flows.opened(flow, key, now)
-        self._silence.on_opening(flow, key, now)
-        token = _tokens.token_of(*key)
-        return _decisions.Forward(chosen.instance, token)
+        return self._place(opening, route, now)
 
     def forward(self, packet: Packet, now: float) -> _decisions.Decision:
         """Route a later packet by its token alone."""
@@ -110,18 +114,65 @@
         self._count(packet, known.instance.key, route, now)
         return _decisions.Forward(known.instance, packet.token)
 
+    def on_tick(self, now: float) -> abc.Iterator[Due]:
+        """Let time pass; yield the openings that are due."""
+        for _ in self._flows.expire(now):
+            pass
+        yield from self._release(now)
+        for placed in self._openings.unanswered(now):
+            yield from self._place_again(placed, now)
+
+    def _release(self, now: float) -> abc.Iterator[Due]:
+        """Place what waited for routes."""
+        if not self.revision:
+            return
+        for opening in self._openings.release(now):
+            yield Due(opening.packet, self.open(opening, now))
+
+    def _place_again(
+        self, placed: _openings.Placed, now: float
+    ) -> abc.Iterator[Due]:
+        """Place an unanswered opening on another upstream.
+
+        The caller takes the first answer; an opening that reaches two
+        upstreams opens a flow at one of them.
+        """
+        opening = placed.opening
+        flow = self._flows.get(opening.flow)
+        if flow is None or flow.phase is not _flows.Phase.OPENING:
+            return
+        if flow.placed_at != placed.at or flow.upstream != placed.upstream:
+            return
+        self._silence.on_missed(placed.upstream, now)
+        route = self._routes.get(opening.destination)
+        if route is None or len(flow.tried) >= self._cfg.placements:
+            return
+        again = self._candidates(flow, route, now)
+        if again:
+            yield Due(opening.packet, self._place(opening, route, now))
+
+    def _place(
+        self, opening: _openings.Opening, route: _routes.Route, now: float
+    ) -> _decisions.Decision:
+        """Place an opening on the best upstream for it."""
+        flow = self._flows.get(opening.flow)
+        candidates = self._candidates(flow, route, now)
+        if not candidates:
+            candidates = self._usable(route, now)
+        chosen = self._chooser.choose(candidates)
+        if chosen is None:
+            return _decisions.Reset(_Reason.NO_UPSTREAM)
+        key = chosen.instance.key
+        self._flows.opened(opening.flow, key, now)
+        self._openings.placed(opening, key, now)
+        return _decisions.Forward(chosen.instance, _tokens.token_of(*key))
+
     def _end(self, known: discovery.Known, now: float) -> _decisions.Decision:
         """End a flow whose upstream has gone, once it has surely ended."""
         if now - known.changed_at < self._cfg.exit_s:
             return _decisions.Drop(_Reason.UPSTREAM_GONE)
         return _decisions.Reset(_Reason.UPSTREAM_GONE)
 
-    def on_tick(self, now: float) -> None:
-        """Let time pass."""
-        self._silence.on_tick(self._flows, now)
-        for _ in self._flows.expire(now):
-            pass
-
     def _count(
         self,
         packet: Packet,
@@ -130,33 +181,47 @@
         now: float,
     ) -> None:
         """Keep the counts of open flows up to date."""
+        flow = self._flows.get(packet.flow)
+        if flow is not None and flow.phase is _flows.Phase.OPENING:
+            self._silence.on_answered(upstream)
+            if flow.upstream == upstream and len(flow.tried) == 1:
+                self._openings.answered(now - flow.placed_at)
         if packet.has_ended:
             self._flows.closed(packet.flow, upstream, now)
-            return
-        until = now + route.timeout_ms / 1000
-        before = self._flows.seen(packet.flow, upstream, until)
-        if before is _flows.Phase.OPENING:
-            self._silence.on_answered(upstream)
-
-    def _choose(
-        self, flow: _flows.FlowKey, route: _routes.Route, now: float
-    ) -> discovery.Known | None:
-        """Return the upstream for a new flow."""
+        else:
+            until = now + route.timeout_ms / 1000
+            self._flows.seen(packet.flow, upstream, until)
+
+    def _usable(
+        self, route: _routes.Route, now: float
+    ) -> list[discovery.Known]:
+        """Return the upstreams of a service drawn by weight."""
         service = self._service(route)
-        usable = [
+        return [
             item
             for item in self._roster.of_service(service, now)
             if self._tokens.is_exact(item)
         ]
-        known = self._flows.get(flow)
-        tried = known.tried if known is not None else ()
+
+    def _candidates(
+        self, flow: _flows.Flow | None, route: _routes.Route, now: float
+    ) -> list[discovery.Known]:
+        """Return the upstreams worth a try that had none yet.
+
+        After a first try without answer those of the own zone come first:
+        a cut between zones is the likeliest cause that many share.
+        """
+        tried = flow.tried if flow is not None else ()
         good = [
             item
-            for item in usable
+            for item in self._usable(route, now)
             if item.instance.key not in tried
             and not self._silence.is_avoided(item.instance.key, now)
         ]
-        return self._chooser.choose(good or usable)
+        if tried:
+            near = [i for i in good if i.instance.zone == self._zone]
+            return near or good
+        return good
 
     def _service(self, route: _routes.Route) -> ids.ServiceId:
         """Draw a service by the weights of a route."""
