Recall the last committed document at the start of a coordinator

Cause: after the loss of all power routes reached edge hosts at 45.8 s, since what is committed isn't known before somebody leads (45.6 s). Change: the file of hints also holds the last committed document; edge hosts get its routes until the log is known; reads still need a majority. Ruled out: the uncommitted end of the log, which may never be in force.

--- a/foxtailworks/coordinator/_hints.py
+++ b/foxtailworks/coordinator/_hints.py
@@ -1,4 +1,4 @@
-"""Instances as of a little ago, for the start after a loss of power."""
+"""What was known a little ago, for the start after a loss of power."""
 
 from collections import abc
 import dataclasses
@@ -8,9 +8,10 @@
 from foxtailworks import discovery
 from foxtailworks import errors
 from foxtailworks import logs
+from foxtailworks import revisions
 from foxtailworks import wire
 
-NAME = ".instances"
+NAME = ".hints"
 """A name that the journal in the same folder leaves alone."""
 SAVE_S = 1.0
 """Changes are collected so long before they are written."""
@@ -23,18 +24,20 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Saved:
+class Hint:
     """Content of the file."""
 
-    instances: tuple[discovery.Instance, ...]
-    """Those that were live, and what has gone lately."""
+    instances: tuple[discovery.Instance, ...] = ()
+    """Those that were live."""
+    held: revisions.Held = revisions.NOTHING
+    """A committed document: perhaps not the newest, never a refused one."""
 
 
-_CODEC = wire.Codec({1: _Saved}, limit=16 << 20)
+_CODEC = wire.Codec({1: Hint}, limit=16 << 20)
 
 
 class Hints:
-    """Keeps the instances in a file; losing it costs a second, no promise.
+    """Keeps them in a file; losing it costs a second, no promise.
 
     :param folder: the coordinator's data folder
     :param clock: steady seconds
@@ -45,33 +48,36 @@
     ) -> None:
         self._path = folder / NAME
         self._clock = clock
-        self._saved_mark = 0
+        self._saved = (0, 0)
         self._due_at = clock() + SAVE_S
 
-    def load(self) -> tuple[discovery.Instance, ...]:
+    def load(self) -> Hint:
         """Return what was saved; nothing when it can't be read."""
         try:
-            saved: _Saved = _CODEC.decode(self._path.read_bytes())
+            hint: Hint = _CODEC.decode(self._path.read_bytes())
         except FileNotFoundError:
-            return ()
+            return Hint()
         except (OSError, errors.FoxtailError) as exc:
             _EVENTS.warning("hints_unreadable", reason=str(exc))
-            return ()
-        return saved.instances
+            return Hint()
+        return hint
 
-    def save_if_due(self, registry: discovery.Registry, now: float) -> None:
+    def save_if_due(
+        self, registry: discovery.Registry, held: revisions.Held, now: float
+    ) -> None:
         """Write what has changed, at most once in a while."""
-        if now < self._due_at or registry.mark == self._saved_mark:
+        mark = (registry.mark, held.revision)
+        if now < self._due_at or mark == self._saved:
             return
         self._due_at = now + SAVE_S
         instances = tuple(i.instance for i in registry.rows() if i.live)
         try:
-            self._write(_CODEC.encode(_Saved(instances)))
+            self._write(_CODEC.encode(Hint(instances, held)))
         except OSError as exc:
             _EVENTS.warning("hints_unwritten", reason=exc.strerror)
             self._due_at = now + REST_S
             return
-        self._saved_mark = registry.mark
+        self._saved = mark
         if self._clock() - now > SLOW_S:
             self._due_at = now + REST_S
 
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -89,8 +89,11 @@
         self.documents: _documents.Documents | None = None
         self._open_disk(now)
         self._hints = _hints.Hints(cfg.data_folder, clock)
+        self._recalled = revisions.NOTHING
         if not cfg.is_first_start:
-            self.registry.recall(self._hints.load(), now)
+            hint = self._hints.load()
+            self.registry.recall(hint.instances, now)
+            self._recalled = hint.held
 
     # The disk and the node on it.
 
@@ -250,11 +253,22 @@
         )
         self._send(answer, src)
 
-    def _compiled(self) -> tuple[int, bytes]:
-        """Return the routes of the committed document."""
+    def _committed(self) -> revisions.Held:
+        """Return the newest document that is known to be committed.
+
+        After a restart that is the one recalled from the disk, until a
+        leader tells how far the log is committed.
+        """
         if self.documents is None:
-            return self._table
+            return self._recalled
         held = self.documents.held
+        if held.revision > self._recalled.revision:
+            self._recalled = held
+        return self._recalled
+
+    def _compiled(self) -> tuple[int, bytes]:
+        """Return the routes of the committed document."""
+        held = self._committed()
         if held.revision > self._table[0]:
             self._table = (held.revision, self._compile(held.text()))
         return self._table
@@ -278,7 +292,7 @@
         self._share(now)
         self._keep_whole(now)
         self.pump()
-        self._hints.save_if_due(self.registry, now)
+        self._hints.save_if_due(self.registry, self._committed(), now)
 
     def _tell_presence(self, now: float) -> None:
         """Tell the others that this coordinator is there."""
--- a/foxtailworks/coordinator/tests/test_promises.py
+++ b/foxtailworks/coordinator/tests/test_promises.py
@@ -208,6 +208,42 @@
     assert read(made).revision >= acknowledged
 
 
+def routes(made, number):
+    """Return the revision that an edge host would get of a coordinator."""
+    place = made.places[world.address(number)]
+    return place.program._compiled()[0]
+
+
+def test_routes_are_there_at_the_start_before_anyone_leads(tmp_path):
+    made = world.World(3, folder=tmp_path)
+    made.run(SETTLE_S)
+    assert put(made, 7) is True
+    made.run(2.0)
+    for number in (1, 2, 3):
+        made.power_off(number)
+    made.start(2)
+    assert routes(made, 2) == 7
+    made.run(3.0)
+    assert made.leader() is None
+    found = read(made, made.places[world.address(2)].program)
+    assert found.code is errors.Code.NOT_LEADER, "no proof, no answer"
+
+
+def test_a_document_that_was_never_committed_is_not_recalled(tmp_path):
+    made = world.World(3, folder=tmp_path)
+    made.run(SETTLE_S)
+    assert put(made, 7) is True
+    made.run(2.0)
+    leader = made.leader()
+    number = int(leader._cfg.name[1:])
+    made.cut({number}, {1, 2, 3} - {number})
+    assert put(made, 8, leader) is not True
+    made.run(2.0)
+    made.stop(number)
+    made.start(number)
+    assert routes(made, number) == 7
+
+
 def fault(made, rng):
     """Let one thing fail and come back, or all lose power."""
     number = rng.randint(1, 3)
--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -58,6 +58,8 @@
 
     def add(self, number, first=True):
         place = Place(number, journal.MemoryFiles(), first=first)
+        if self.folder.is_dir():
+            (self.folder / f"k{number}").mkdir()
         self.places[address(number)] = place
         self.start(number)
 
@@ -67,7 +69,7 @@
             f"k{number}",
             ids.ZoneId(f"z{number}"),
             address(number),
-            self.folder,
+            self.folder / f"k{number}",
             self.seeds,
             place.first,
             3.0,
