--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 DAY ?= quiet-1
 
 .PHONY: all test format lint types unit behave demo soak bench capacity \
-	platform-day clean
+	platform-day platform-soak short-soak clean
 
 all: test
 
@@ -20,7 +20,7 @@
 	.venv/bin/pip install -q -r requirements.txt
 	touch .venv/.done
 
-test: format lint types unit behave
+test: format lint types unit behave short-soak
 
 format: .venv/.done
 	$(PY) -m ruff format --check .
@@ -55,5 +55,11 @@
 		"set BENCH and SITES"; exit 1; }
 	$(BENCH) run $(SITES)/$(SITE).toml $(DAY)
 
+platform-soak: .venv/.done
+	$(PY) deploy/soak --seed $(SEED) --seconds $(SECONDS)
+
+short-soak: .venv/.done
+	$(PY) deploy/soak --seed 1 --seconds 10
+
 clean:
 	rm -rf build var
--- /dev/null
+++ b/deploy/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults on the platform's programs, as real processes."""
