Log each decision on flows within budgets; show figures to scrapers

Cause: of a failed request nothing could be found afterwards: edge hosts logged their routes only, coordinators nothing of instances. Change: steering notes what happens to flows; edge hosts log it with its grounds, failures before successes (50 and 5 lines a second), counts what is left out, and shows figures as text at port 9464, the library for which is loaded by the first scrape. Coordinators log each change of an instance. Output never waits for its reader. foxtailctl explain gathers an id's lines. Ruled out: writing through the stream's own buffer, which raised at its end when the reader was gone (found by the test).

--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -288,12 +288,27 @@
             self._open_disk(now)
         if self.node is not None:
             self.node.on_tick(now)
+        self._log_news()
         self._tell_presence(now)
         self._share(now)
         self._keep_whole(now)
         self.pump()
         self._hints.save_if_due(self.registry, self._committed(), now)
 
+    def _log_news(self) -> None:
+        """Log what is believed of instances from now on."""
+        for item in self.registry.take_news():
+            _EVENTS.info(
+                "instance_changed",
+                upstream=item.instance.instance,
+                born=item.instance.incarnation,
+                service=item.instance.service,
+                address=item.instance.address,
+                state=item.instance.state.name.lower(),
+                live=item.live,
+                sequence=item.instance.sequence,
+            )
+
     def _tell_presence(self, now: float) -> None:
         """Tell the others that this coordinator is there."""
         if now < self._presence_at or self.node is None:
--- a/foxtailworks/ctl/_app.py
+++ b/foxtailworks/ctl/_app.py
@@ -7,6 +7,7 @@
 
 import foxtailworks
 from foxtailworks.ctl import _contract
+from foxtailworks.ctl import _explain
 from foxtailworks.ctl import _host
 from foxtailworks.ctl import _keeper
 from foxtailworks.ctl import _session
@@ -24,6 +25,7 @@
 app.command("status")(_host.status)
 app.command("histogram")(_host.histogram)
 app.command("drain")(_host.drain)
+app.command("explain")(_explain.explain)
 
 
 def _print_version(wanted: bool) -> None:
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -10,6 +10,8 @@
 
 TOMBSTONE_S = 60.0
 """An instance that has gone is remembered so long, against late news."""
+MAX_NEWS = 1000
+"""Changes kept for logs until they are taken; more are left out."""
 RECALL_S = 2.0
 """What was known before a restart is believed so long: each instance has
 announced itself again by then."""
@@ -77,6 +79,7 @@
         self._lease_s = lease_s
         self._rows: dict[Key, _Row] = {}
         self._mark = 0
+        self._news: list[Listed] = []
         self._unshared: dict[Key, tuple[_instance.Instance, float]] = {}
 
     @property
@@ -130,6 +133,11 @@
             if len(self._rows) < MAX_INSTANCES:
                 self._take(item.instance, now - item.age_ms / 1000, now)
 
+    def take_news(self) -> list[Listed]:
+        """Return what changed since the last call, for logs."""
+        news, self._news = self._news, []
+        return news
+
     def take_unshared(self, now: float) -> tuple[Heard, ...]:
         """Return the heartbeats that the others haven't been told."""
         unshared, self._unshared = self._unshared, {}
@@ -225,9 +233,11 @@
                 self._touch(row)
 
     def _touch(self, row: _Row) -> None:
-        """Count a change."""
+        """Count a change and keep it as news."""
         self._mark += 1
         row.mark = self._mark
+        if len(self._news) < MAX_NEWS:
+            self._news.append(Listed(row.instance, row.live))
 
 
 def _visible(instance: _instance.Instance) -> _instance.Instance:
--- a/foxtailworks/edge/__init__.py
+++ b/foxtailworks/edge/__init__.py
@@ -2,12 +2,15 @@
 
 Example::
 
-    async with edge.opened(cfg, clock, rng, pass_on, stop) as host:
+    async with edge.opened(
+        cfg, clock, rng, pass_on, describe, stop
+    ) as host:
         decision = host.steering.open(opening, clock())
 """
 
 from foxtailworks.edge._host import Host
 from foxtailworks.edge._host import opened
 from foxtailworks.edge._host import Settings
+from foxtailworks.edge._scrape import CONTENT_TYPE
 
-__all__ = ["Host", "Settings", "opened"]
+__all__ = ["CONTENT_TYPE", "Host", "Settings", "opened"]
--- /dev/null
+++ b/foxtailworks/edge/_audit.py
@@ -0,0 +1,195 @@
+"""What happened to flows, as log lines and as figures."""
+
+import bisect
+from collections import abc
+import dataclasses
+import functools
+import itertools
+
+from foxtailworks import logs
+from foxtailworks import steering
+
+SUCCESSES_PER_S = 5.0
+"""Lines for what went well: a sample, since a host sees hundreds a second."""
+FAILURES_PER_S = 50.0
+"""Lines for what didn't: all but in a disaster."""
+BURST_S = 10.0
+"""Seconds' worth of lines that may come at once."""
+REPORT_S = 10.0
+"""The count of lines left out is logged so often."""
+BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+"""Upper bounds of the histograms' buckets, in seconds."""
+
+_EVENTS = logs.Events("flows")
+
+Describe = abc.Callable[[steering.FlowKey], str]
+"""Returns a flow as its caller's end and destination."""
+
+
+@dataclasses.dataclass
+class Histogram:
+    """Durations in buckets."""
+
+    counts: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * (len(BOUNDS_S) + 1)
+    )
+    """One for each bound, and one for what is over the last."""
+    total_s: float = 0.0
+    """Sum of all durations."""
+
+    def add(self, seconds: float) -> None:
+        """Count one duration."""
+        self.counts[bisect.bisect_left(BOUNDS_S, seconds)] += 1
+        self.total_s += seconds
+
+    def cumulative(self) -> abc.Iterator[tuple[str, int]]:
+        """Yield upper bound and count of all up to it."""
+        names = [*(f"{bound:g}" for bound in BOUNDS_S), "+Inf"]
+        return zip(names, itertools.accumulate(self.counts), strict=True)
+
+
+@dataclasses.dataclass
+class Figures:
+    """Counts since the start of the process."""
+
+    placed: int = 0
+    """Openings passed on to an upstream."""
+    placed_again: int = 0
+    """Of these, to a further upstream of the same flow."""
+    unanswered: int = 0
+    """Openings that saw no answer in time."""
+    ended: dict[steering.Ending, int] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(steering.Ending, 0)
+    )
+    """Flows by how they ended."""
+    turned_away: dict[steering.Reason, int] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(steering.Reason, 0)
+    )
+    """Packets that were not forwarded, by reason."""
+    answer: Histogram = dataclasses.field(default_factory=Histogram)
+    """Time to an answer, as seen from this host."""
+    duration: Histogram = dataclasses.field(default_factory=Histogram)
+    """Time from opening to close of flows that were closed."""
+
+
+class Audit:
+    """Takes the events of steering.
+
+    :param describe: names a flow for people; called only for a line
+    """
+
+    def __init__(self, describe: Describe) -> None:
+        self.describe = describe
+        self.figures = Figures()
+        self._successes = logs.Budget(
+            SUCCESSES_PER_S, SUCCESSES_PER_S * BURST_S
+        )
+        self._failures = logs.Budget(FAILURES_PER_S, FAILURES_PER_S * BURST_S)
+        self._report_at = 0.0
+        self._reported = 0
+
+    def take(self, events: abc.Iterable[steering.Event], now: float) -> None:
+        """Count events and log those that the budgets allow."""
+        for event in events:
+            _take(event, self, now)
+        self._report(now)
+
+    def may_log(self, is_failure: bool, now: float) -> bool:
+        """Tell whether there may be a line for one more event."""
+        budget = self._failures if is_failure else self._successes
+        return budget.allows(now)
+
+    def _report(self, now: float) -> None:
+        """Say how many lines were left out."""
+        left_out = self._successes.refused + self._failures.refused
+        if now < self._report_at or left_out == self._reported:
+            return
+        self._report_at = now + REPORT_S
+        self._reported = left_out
+        _EVENTS.info(
+            "lines_left_out",
+            successes=self._successes.refused,
+            failures=self._failures.refused,
+        )
+
+
+def _ms(seconds: float) -> int:
+    """Return a duration for a line."""
+    return round(seconds * 1000)
+
+
+@functools.singledispatch
+def _take(event: object, audit: Audit, now: float) -> None:
+    """Count an event and log it."""
+    raise TypeError(f"not an event of steering: {event!r}")
+
+
+@_take.register
+def _(event: steering.Placed, audit: Audit, now: float) -> None:
+    audit.figures.placed += 1
+    audit.figures.placed_again += event.attempt > 1
+    if audit.may_log(event.attempt > 1, now):
+        _EVENTS.info(
+            "flow_placed",
+            flow=audit.describe(event.flow),
+            upstream=event.upstream[0],
+            born=event.upstream[1],
+            copy=event.copy,
+            attempt=event.attempt,
+            candidates=event.candidates,
+            open_here=event.open_flows,
+            listed_ms=_ms(event.listed_s),
+            revision=event.revision,
+        )
+
+
+@_take.register
+def _(event: steering.Answered, audit: Audit, now: float) -> None:
+    audit.figures.answer.add(event.after_s)
+
+
+@_take.register
+def _(event: steering.Unanswered, audit: Audit, now: float) -> None:
+    audit.figures.unanswered += 1
+    if audit.may_log(True, now):
+        _EVENTS.info(
+            "opening_unanswered",
+            flow=audit.describe(event.flow),
+            upstream=event.upstream[0],
+            after_ms=_ms(event.after_s),
+        )
+
+
+@_take.register
+def _(event: steering.Ended, audit: Audit, now: float) -> None:
+    audit.figures.ended[event.ending] += 1
+    is_closed = event.ending is steering.Ending.CLOSED
+    if is_closed and event.lasted_s is not None:
+        audit.figures.duration.add(event.lasted_s)
+    if audit.may_log(not is_closed, now):
+        lasted_s = event.lasted_s
+        _EVENTS.info(
+            "flow_ended",
+            flow=audit.describe(event.flow),
+            upstream=event.upstream[0],
+            ending=event.ending,
+            tried=event.tried,
+            lasted_ms="unseen" if lasted_s is None else _ms(lasted_s),
+        )
+
+
+@_take.register
+def _(event: steering.TurnedAway, audit: Audit, now: float) -> None:
+    audit.figures.turned_away[event.reason] += 1
+    if not audit.may_log(True, now):
+        return
+    fields = {
+        "flow": audit.describe(event.flow),
+        "reason": event.reason,
+        "token": event.token,
+        "revision": event.revision,
+    }
+    if event.was_reset:
+        _EVENTS.info("flow_refused", **fields)
+    else:
+        _EVENTS.info("packet_dropped", **fields)
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -8,6 +8,8 @@
 
 from foxtailworks import datagram
 from foxtailworks import discovery
+from foxtailworks.edge import _audit
+from foxtailworks.edge import _scrape
 from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks import logs
@@ -60,6 +62,7 @@
 
     :param clock: seconds that also pass while the process is stopped
     :param pass_on: carries out what became of openings that had to wait
+    :param describe: names a flow for people
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         clock: abc.Callable[[], float],
         rng: random.Random,
         pass_on: abc.Callable[[steering.Due], None],
+        describe: _audit.Describe = bytes.hex,
     ) -> None:
         self._cfg = cfg
         self._clock = clock
@@ -79,6 +83,7 @@
         self._poll_at = 0.0
         self._endpoint: datagram.Endpoint | None = None
         self._pass_on = pass_on
+        self._audit = _audit.Audit(describe)
         self._leaving = False
 
     def attach(self, endpoint: datagram.Endpoint) -> None:
@@ -93,6 +98,19 @@
         is_starting = self._clock() - self._started_at < STARTING_S
         return is_starting or bool(self.steering.revision)
 
+    def metrics(self) -> bytes:
+        """Return the figures in the text format that scrapers read."""
+        now = self._clock()
+        gauges = {
+            "revision": ("Routes in force.", float(self.steering.revision)),
+            "flows": ("Flows remembered.", float(self.steering.flows)),
+            "coordinators": (
+                "Coordinators that answer.",
+                float(self.roster.answered(now)),
+            ),
+        }
+        return _scrape.render(self._audit.figures, gauges)
+
     def withdraw(self) -> None:
         """Take no new callers; packets that still come are served."""
         self._leaving = True
@@ -120,6 +138,7 @@
         """Let time pass."""
         for due in self.steering.on_tick(now):
             self._pass_on(due)
+        self._audit.take(self.steering.events.take(), now)
         if now < self._poll_at:
             return
         is_new = not self.steering.revision
@@ -172,13 +191,14 @@
     clock: abc.Callable[[], float],
     rng: random.Random,
     pass_on: abc.Callable[[steering.Due], None],
+    describe: _audit.Describe,
     stop: asyncio.Event,
 ) -> abc.AsyncIterator[Host]:
     """Run an edge host until the end of the block.
 
     :param stop: set when a fault has ended the host
     """
-    host = Host(cfg, clock, rng, pass_on)
+    host = Host(cfg, clock, rng, pass_on, describe)
     async with datagram.open_endpoint(
         cfg.peer_address, polling.CODEC, host.take, clock
     ) as endpoint:
--- a/foxtailworks/httpd/_server.py
+++ b/foxtailworks/httpd/_server.py
@@ -58,6 +58,8 @@
     """May be empty."""
     headers: tuple[tuple[str, str], ...] = ()
     """Besides those that say how the body is sent."""
+    content_type: str = "application/json"
+    """What the body is."""
 
 
 Handle: typing.TypeAlias = abc.Callable[[Request], abc.Awaitable[Response]]
@@ -142,7 +144,7 @@
         """Write one response."""
         headers = [
             *res.headers,
-            ("Content-Type", "application/json"),
+            ("Content-Type", res.content_type),
             ("Content-Length", str(len(res.body))),
         ]
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- /dev/null
+++ b/foxtailworks/logs/_budget.py
@@ -0,0 +1,28 @@
+"""How many lines may be written under load."""
+
+
+class Budget:
+    """A token bucket that counts what it refuses.
+
+    :param rate: lines a second in the long run
+    :param burst: lines at once after a quiet time
+    """
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._at = 0.0
+        self.refused = 0
+        """Lines that were not written, since the start."""
+
+    def allows(self, now: float) -> bool:
+        """Tell whether one more line may be written."""
+        gained = max(0.0, now - self._at) * self._rate
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._at = now
+        if self._tokens < 1:
+            self.refused += 1
+            return False
+        self._tokens -= 1
+        return True
--- a/foxtailworks/logs/_events.py
+++ b/foxtailworks/logs/_events.py
@@ -100,8 +100,18 @@
     return f"time={time}Z level={level} part={record.channel} {record.msg}"
 
 
+class Writable(typing.Protocol):
+    """What lines are written to."""
+
+    def write(self, text: str, /) -> int:
+        """Write one line."""
+
+    def flush(self) -> None:
+        """Let nothing wait."""
+
+
 @contextlib.contextmanager
-def logging_to(stream: typing.TextIO, level: str) -> abc.Iterator[None]:
+def logging_to(stream: Writable, level: str) -> abc.Iterator[None]:
     """Log events of ``level`` and above to ``stream``.
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``
--- a/foxtailworks/service/_service.py
+++ b/foxtailworks/service/_service.py
@@ -40,7 +40,7 @@
 
     :param main: gets the event that SIGTERM and SIGINT set
     """
-    with logs.logging_to(sys.stdout, log_level):
+    with logs.logging_to(logs.Pipe(sys.stdout), log_level):
         _EVENTS.info("started", pid=os.getpid())
         try:
             uvloop.run(_with_signals(main))
--- a/foxtailworks/steering/__init__.py
+++ b/foxtailworks/steering/__init__.py
@@ -18,7 +18,15 @@
 from foxtailworks.steering._decisions import Forward
 from foxtailworks.steering._decisions import Reason
 from foxtailworks.steering._decisions import Reset
+from foxtailworks.steering._events import Answered
+from foxtailworks.steering._events import Ended
+from foxtailworks.steering._events import Ending
+from foxtailworks.steering._events import Event
+from foxtailworks.steering._events import Placed
+from foxtailworks.steering._events import TurnedAway
+from foxtailworks.steering._events import Unanswered
 from foxtailworks.steering._flows import FlowKey
+from foxtailworks.steering._flows import InstanceKey
 from foxtailworks.steering._openings import Opening
 from foxtailworks.steering._routes import decode_table
 from foxtailworks.steering._routes import encode_table
@@ -34,15 +42,21 @@
 from foxtailworks.steering._tokens import Tokens
 
 __all__ = [
+    "Answered",
     "Chooser",
     "Config",
     "Decision",
     "Drop",
     "Due",
+    "Ended",
+    "Ending",
+    "Event",
     "FlowKey",
     "Forward",
+    "InstanceKey",
     "Opening",
     "Packet",
+    "Placed",
     "Reason",
     "RequestKind",
     "Reset",
@@ -52,6 +66,8 @@
     "Steering",
     "Token",
     "Tokens",
+    "TurnedAway",
+    "Unanswered",
     "decode_table",
     "encode_table",
     "token_of",
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -9,6 +9,7 @@
 from foxtailworks.steering import _choice
 from foxtailworks.steering import _config
 from foxtailworks.steering import _decisions
+from foxtailworks.steering import _events
 from foxtailworks.steering import _flows
 from foxtailworks.steering import _openings
 from foxtailworks.steering import _routes
@@ -68,6 +69,8 @@
         self._chooser = _choice.Chooser(self._flows.open_at, rng, self._cfg)
         self._routes: dict[ids.Address, _routes.Route] = {}
         self.revision = 0
+        self.events = _events.Events()
+        """What happened, for logs and counters."""
 
     @property
     def flows(self) -> int:
@@ -86,6 +89,41 @@
         self, opening: _openings.Opening, now: float
     ) -> _decisions.Decision:
         """Place an opening packet, or keep it until that is possible."""
+        decision = self._open(opening, now)
+        if not isinstance(decision, _decisions.Forward):
+            self._note(opening.flow, opening.destination, 0, decision)
+        return decision
+
+    def forward(self, packet: Packet, now: float) -> _decisions.Decision:
+        """Route a later packet by its token alone."""
+        decision = self._forward(packet, now)
+        if not isinstance(decision, _decisions.Forward):
+            self._note(packet.flow, packet.destination, packet.token, decision)
+        return decision
+
+    def _note(
+        self,
+        flow: _flows.FlowKey,
+        destination: ids.Address,
+        token: int,
+        decision: _decisions.Reset | _decisions.Drop,
+    ) -> None:
+        """Note a packet that isn't forwarded."""
+        self.events.add(
+            _events.TurnedAway(
+                flow,
+                destination,
+                decision.reason,
+                isinstance(decision, _decisions.Reset),
+                token,
+                self.revision,
+            )
+        )
+
+    def _open(
+        self, opening: _openings.Opening, now: float
+    ) -> _decisions.Decision:
+        """Decide on an opening packet."""
         if not self.revision:
             if opening.copy == 0:
                 self._openings.hold(opening, now)
@@ -99,8 +137,8 @@
             return _decisions.Reset(_Reason.NO_ROUTE)
         return self._place(opening, route, now)
 
-    def forward(self, packet: Packet, now: float) -> _decisions.Decision:
-        """Route a later packet by its token alone."""
+    def _forward(self, packet: Packet, now: float) -> _decisions.Decision:
+        """Decide on a later packet."""
         if not self.revision:
             return _decisions.Drop(_Reason.NOT_READY)
         route = self._routes.get(packet.destination)
@@ -116,8 +154,8 @@
 
     def on_tick(self, now: float) -> abc.Iterator[Due]:
         """Let time pass; yield the openings that are due."""
-        for _ in self._flows.expire(now):
-            pass
+        for key, flow in self._flows.expire(now):
+            self._note_expired(key, flow, now)
         yield from self._release(now)
         for placed in self._openings.unanswered(now):
             yield from self._place_again(placed, now)
@@ -144,6 +182,9 @@
         if flow.placed_at != placed.at or flow.upstream != placed.upstream:
             return
         self._silence.on_missed(placed.upstream, now)
+        self.events.add(
+            _events.Unanswered(opening.flow, placed.upstream, now - placed.at)
+        )
         route = self._routes.get(opening.destination)
         if route is None or len(flow.tried) >= self._cfg.placements:
             return
@@ -163,6 +204,18 @@
         if chosen is None:
             return _decisions.Reset(_Reason.NO_UPSTREAM)
         key = chosen.instance.key
+        self.events.add(
+            _events.Placed(
+                opening.flow,
+                key,
+                opening.copy,
+                1 if flow is None else len(flow.tried) + 1,
+                len(candidates),
+                self._flows.open_at(key),
+                now - chosen.live_at,
+                self.revision,
+            )
+        )
         self._flows.opened(opening.flow, key, now)
         self._openings.placed(opening, key, now)
         return _decisions.Forward(chosen.instance, _tokens.token_of(*key))
@@ -184,14 +237,42 @@
         flow = self._flows.get(packet.flow)
         if flow is not None and flow.phase is _flows.Phase.OPENING:
             self._silence.on_answered(upstream)
+            after_s = now - flow.placed_at
+            self.events.add(_events.Answered(packet.flow, upstream, after_s))
             if flow.upstream == upstream and len(flow.tried) == 1:
-                self._openings.answered(now - flow.placed_at)
+                self._openings.answered(after_s)
         if packet.has_ended:
+            if flow is not None and flow.phase is not _flows.Phase.CLOSED:
+                self._note_ended(packet.flow, flow, _events.Ending.CLOSED, now)
             self._flows.closed(packet.flow, upstream, now)
         else:
             until = now + route.timeout_ms / 1000
             self._flows.seen(packet.flow, upstream, until)
 
+    def _note_expired(
+        self, key: _flows.FlowKey, flow: _flows.Flow, now: float
+    ) -> None:
+        """Note a flow whose time is over, unless it was closed before."""
+        if flow.phase is _flows.Phase.OPENING:
+            self._note_ended(key, flow, _events.Ending.UNOPENED, now)
+        elif flow.phase is _flows.Phase.OPEN:
+            self._note_ended(key, flow, _events.Ending.SILENT, now)
+
+    def _note_ended(
+        self,
+        key: _flows.FlowKey,
+        flow: _flows.Flow,
+        ending: _events.Ending,
+        now: float,
+    ) -> None:
+        """Note the end of a flow."""
+        lasted_s = now - flow.placed_at if flow.placed_at else None
+        self.events.add(
+            _events.Ended(
+                key, flow.upstream, ending, len(flow.tried), lasted_s
+            )
+        )
+
     def _usable(
         self, route: _routes.Route, now: float
     ) -> list[discovery.Known]:
