Let only the first placement's silence speak against an upstream

The host sees no copy, places the opening on two live servers that nobody answers any more, and counts misses against these, too; two such misses made a live server avoided, while each host needed two misses for each dead one. Ruled out: a change of rotation (no host came or went before 2.98 s); slow answers of live servers (flows ended as unopened, without copies). Change: one miss avoids an upstream for 0.25 s, doubling; later placements' misses count for nothing; one second placement before the caller's copy.

--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -16,14 +16,14 @@
     """Patience, in times that an answer usually takes."""
     answer_share: float = 0.1
     """Weight of the newest answer in the usual time."""
-    placements: int = 3
-    """Upstreams that one opening and its copies are tried at, each once."""
+    unprompted: int = 2
+    """Upstreams that an opening is tried at before the caller's copy shows
+    that it still waits."""
     max_held: int = 4096
     """Openings that wait for routes; more are dropped."""
-    misses: int = 2
-    """Misses in a row after which an upstream is avoided."""
-    back_off_s: float = 1.0
-    """First back-off; doubles up to ``max_back_off_s``."""
+    back_off_s: float = 0.25
+    """First back-off, after one miss; doubles up to ``max_back_off_s``. A
+    lost packet or a change of the routers costs an upstream no more."""
     max_back_off_s: float = 8.0
     """Longest back-off; a cut that has healed is noticed within it."""
     closed_s: float = 2.0
--- a/foxtailworks/steering/_silence.py
+++ b/foxtailworks/steering/_silence.py
@@ -10,8 +10,6 @@
 class _Evidence:
     """What speaks against an upstream."""
 
-    misses: int = 0
-    """In a row."""
     avoided_until: float = 0.0
     """No new work before, while others are there."""
     back_off_s: float = 0.0
@@ -39,10 +37,9 @@
         self._evidence.pop(upstream, None)
 
     def on_missed(self, upstream: _flows.InstanceKey, now: float) -> None:
-        """Count a miss; enough of them in a row make it avoided."""
+        """Avoid an upstream, longer with each miss until it answers."""
         found = self._evidence.setdefault(upstream, _Evidence())
-        found.misses += 1
-        if found.misses < self._cfg.misses or now < found.avoided_until:
+        if now < found.avoided_until:
             return
         found.back_off_s = min(
             self._cfg.max_back_off_s,
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -173,7 +173,9 @@
         """Place an unanswered opening on another upstream.
 
         The caller takes the first answer; an opening that reaches two
-        upstreams opens a flow at one of them.
+        upstreams opens a flow at one of them. Only the first one's silence
+        speaks against it: a crashed upstream may have reset the caller,
+        which then answers nobody.
         """
         opening = placed.opening
         flow = self._flows.get(opening.flow)
@@ -181,12 +183,13 @@
             return
         if flow.placed_at != placed.at or flow.upstream != placed.upstream:
             return
-        self._silence.on_missed(placed.upstream, now)
+        if len(flow.tried) == 1:
+            self._silence.on_missed(placed.upstream, now)
         self.events.add(
             _events.Unanswered(opening.flow, placed.upstream, now - placed.at)
         )
         route = self._routes.get(opening.destination)
-        if route is None or len(flow.tried) >= self._cfg.placements:
+        if route is None or len(flow.tried) >= self._cfg.unprompted:
             return
         again = self._candidates(flow, route, now)
         if again:
