Let edge hosts share which upstreams are silent

Change: polls carry what a host avoids, at once when it is new; coordinators answer with what two hosts or more avoid; that counts for 0.6 s. Turns of polls are spread over the coordinators.

--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -10,6 +10,7 @@
 
 from foxtailworks import agreement
 from foxtailworks.coordinator import _documents
+from foxtailworks.coordinator import _doubts
 from foxtailworks.coordinator import _hints
 from foxtailworks.coordinator import _messages
 from foxtailworks.coordinator import _peers
@@ -79,6 +80,7 @@
         self._session = rng.getrandbits(62)
         self.registry = discovery.Registry(self._session, cfg.lease_s)
         self._peers = _peers.Peers(cfg.listen_address, cfg.seeds, now)
+        self._doubts = _doubts.Doubts()
         self._endpoint: datagram.Endpoint | None = None
         self._table = (0, b"")
         self._leading_since = now
@@ -244,12 +246,14 @@
     def on_poll(self, msg: polling.Poll, src: ids.Address) -> None:
         """Answer an edge host."""
         now = self._clock()
+        self._doubts.take(msg.host, msg.avoided, now)
         revision, table = self._compiled()
         answer = polling.PollAnswer(
             self.registry.changes(msg.session, msg.mark),
             revision,
             table if msg.revision < revision else b"",
             self._peers.known(now),
+            self._doubts.doubted(now),
         )
         self._send(answer, src)
 
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -80,7 +80,7 @@
         self._started_at = clock()
         self._seeds = frozenset(cfg.seeds)
         self._heard = dict.fromkeys(cfg.seeds, self._started_at)
-        self._poll_at = 0.0
+        self._turns: dict[ids.Address, int] = {}
         self._endpoint: datagram.Endpoint | None = None
         self._pass_on = pass_on
         self._audit = _audit.Audit(describe)
@@ -130,6 +130,7 @@
         self._heard[src] = now
         if not self.roster.merge(src, msg.changes, now):
             _EVENTS.debug("changes_missed", coordinator=src)
+        self.steering.silence.put_doubted(msg.doubted, now)
         self._learn(msg.coordinators, now)
         if msg.table and msg.revision > self.steering.revision:
             self._put_routes(msg, src)
@@ -139,21 +140,37 @@
         for due in self.steering.on_tick(now):
             self._pass_on(due)
         self._audit.take(self.steering.events.take(), now)
-        if now < self._poll_at:
-            return
-        is_new = not self.steering.revision
-        self._poll_at = now + (FIRST_POLL_S if is_new else POLL_S)
         self.roster.on_tick(now)
         self._forget(now)
-        for address in self._heard:
-            self._poll(address)
+        self._poll_due(now)
 
-    def _poll(self, address: ids.Address) -> None:
+    def _poll_due(self, now: float) -> None:
+        """Ask those whose turn it is, all of them when there is news.
+
+        Turns are spread, so that what one host reports is heard from some
+        coordinator long before each has been asked.
+        """
+        is_new = not self.steering.revision
+        interval_s = FIRST_POLL_S if is_new else POLL_S
+        has_news = self.steering.silence.has_news
+        self.steering.silence.has_news = False
+        count = max(1, len(self._heard))
+        for place, address in enumerate(self._heard):
+            turn = int(now / interval_s + place / count)
+            if has_news or turn != self._turns.get(address):
+                self._turns[address] = turn
+                self._poll(address, now)
+
+    def _poll(self, address: ids.Address, now: float) -> None:
         """Ask one coordinator what is new."""
         assert self._endpoint is not None
         session, mark = self.roster.progress(address)
         msg = polling.Poll(
-            self._cfg.host, session, mark, self.steering.revision
+            self._cfg.host,
+            session,
+            mark,
+            self.steering.revision,
+            self.steering.silence.avoided(now),
         )
         self._endpoint.send(msg, address)
 
@@ -183,6 +200,7 @@
         for address, heard_at in list(self._heard.items()):
             if address not in self._seeds and now - heard_at > FORGET_S:
                 del self._heard[address]
+                self._turns.pop(address, None)
 
 
 @contextlib.asynccontextmanager
--- a/foxtailworks/edge/tests/test_host.py
+++ b/foxtailworks/edge/tests/test_host.py
@@ -134,3 +134,59 @@
         edge.Settings(
             ids.HostId("e1"), ids.ZoneId("a"), ids.Address("10.0.0.9", 1), ()
         )
+
+
+def place_and_miss(driven, now):
+    flow = steering.FlowKey(round(now * 1000).to_bytes(12, "big"))
+    opening = steering.Opening(flow, PLACE, 0, b"syn")
+    found = driven.host.steering.open(opening, now)
+    driven.tick(now + 0.1)
+    return found.instance
+
+
+def test_a_silent_upstream_is_reported_at_once():
+    driven = Driven()
+    registry = discovery.Registry(1, 3.0)
+    registry.announce(making.instance(), 0.0)
+    driven.host.take(answer(registry), SEED)
+    driven.tick(0.0)
+    silent = place_and_miss(driven, 0.01)
+    (msg,) = [msg for msg, _ in driven.port.sent]
+    assert msg.avoided == (silent.key,)
+
+
+def test_what_several_hosts_doubt_is_avoided_for_a_while():
+    driven = Driven()
+    registry = discovery.Registry(1, 3.0)
+    one = making.instance("i-1", address=ids.Address("10.0.1.1", 80))
+    two = making.instance("i-2", address=ids.Address("10.0.1.2", 80))
+    registry.announce(one, 0.0)
+    registry.announce(two, 0.0)
+    made = answer(registry)
+    doubting = polling.PollAnswer(
+        made.changes, made.revision, made.table, (SEED,), (one.key,)
+    )
+    driven.host.take(doubting, SEED)
+
+    def chosen(now):
+        start = round(now * 1000)
+        flows = (n.to_bytes(12, "big") for n in range(start, start + 30))
+        return {
+            driven.host.steering.open(
+                steering.Opening(steering.FlowKey(f), PLACE, 0, b"syn"), now
+            ).instance.instance
+            for f in flows
+        }
+
+    assert chosen(0.1) == {"i-2"}
+    assert chosen(1.0) == {"i-1", "i-2"}
+
+
+def test_turns_of_polls_are_spread_over_the_coordinators():
+    driven = Driven()
+    registry = discovery.Registry(1, 3.0)
+    others = tuple(ids.Address(f"10.0.0.{n}", 7000) for n in range(1, 6))
+    driven.host.take(answer(registry, known=others), SEED)
+    counts = [len(driven.tick(1.0 + n / 50)) for n in range(50)]
+    assert sum(counts[1:]) in range(18, 23)
+    assert max(counts[1:]) <= 2
--- a/foxtailworks/polling/_messages.py
+++ b/foxtailworks/polling/_messages.py
@@ -19,6 +19,8 @@
     """How much of it the host has."""
     revision: int
     """Revision of the routes in force on the host."""
+    avoided: tuple[tuple[discovery.InstanceId, ids.Incarnation], ...] = ()
+    """Instances that the host finds silent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +35,8 @@
     """Encoded routes; empty when the host has them."""
     coordinators: tuple[ids.Address, ...]
     """All that are known."""
+    doubted: tuple[tuple[discovery.InstanceId, ids.Incarnation], ...] = ()
+    """Instances that several hosts find silent."""
 
 
 MESSAGES: dict[int, type] = {4: Poll, 5: PollAnswer}
--- a/foxtailworks/steering/_silence.py
+++ b/foxtailworks/steering/_silence.py
@@ -1,5 +1,6 @@
 """Upstreams that leave opening packets unanswered."""
 
+from collections import abc
 import dataclasses
 
 from foxtailworks.steering import _config
@@ -26,15 +27,39 @@
     def __init__(self, config: _config.Config) -> None:
         self._cfg = config
         self._evidence: dict[_flows.InstanceKey, _Evidence] = {}
+        self._doubted: dict[_flows.InstanceKey, float] = {}
+        self.has_news = False
+        """An upstream was found silent since this was last cleared."""
 
     def is_avoided(self, upstream: _flows.InstanceKey, now: float) -> bool:
         """Tell whether an upstream had better get no new work now."""
+        if now < self._doubted.get(upstream, 0.0):
+            return True
         found = self._evidence.get(upstream)
         return found is not None and now < found.avoided_until
 
+    def avoided(self, now: float) -> tuple[_flows.InstanceKey, ...]:
+        """Return what this host itself found silent, for other hosts."""
+        return tuple(
+            key
+            for key, found in self._evidence.items()
+            if now < found.avoided_until
+        )
+
+    def put_doubted(
+        self, keys: abc.Iterable[_flows.InstanceKey], now: float
+    ) -> None:
+        """Take what several other hosts find silent."""
+        self._doubted = {
+            key: until for key, until in self._doubted.items() if now < until
+        }
+        for key in keys:
+            self._doubted[key] = now + self._cfg.doubt_s
+
     def on_answered(self, upstream: _flows.InstanceKey) -> None:
         """Note that a caller got an answer."""
         self._evidence.pop(upstream, None)
+        self._doubted.pop(upstream, None)
 
     def on_missed(self, upstream: _flows.InstanceKey, now: float) -> None:
         """Avoid an upstream, longer with each miss until it answers."""
@@ -46,8 +71,4 @@
             found.back_off_s * 2 or self._cfg.back_off_s,
         )
         found.avoided_until = now + found.back_off_s
-
-    def forget(self, live: frozenset[_flows.InstanceKey]) -> None:
-        """Drop what is known of upstreams that are gone."""
-        for key in [key for key in self._evidence if key not in live]:
-            del self._evidence[key]
+        self.has_news = True
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -64,7 +64,8 @@
         self._rng = rng
         self._tokens = _tokens.Tokens(roster)
         self._flows = _flows.Flows(self._cfg)
-        self._silence = _silence.Silence(self._cfg)
+        self.silence = _silence.Silence(self._cfg)
+        """Which upstreams are avoided; shared among hosts."""
         self._openings = _openings.Openings(self._cfg)
         self._chooser = _choice.Chooser(self._flows.open_at, rng, self._cfg)
         self._routes: dict[ids.Address, _routes.Route] = {}
@@ -184,7 +185,7 @@
         if flow.placed_at != placed.at or flow.upstream != placed.upstream:
             return
         if len(flow.tried) == 1:
-            self._silence.on_missed(placed.upstream, now)
+            self.silence.on_missed(placed.upstream, now)
         self.events.add(
             _events.Unanswered(opening.flow, placed.upstream, now - placed.at)
         )
@@ -239,7 +240,7 @@
         """Keep the counts of open flows up to date."""
         flow = self._flows.get(packet.flow)
         if flow is not None and flow.phase is _flows.Phase.OPENING:
-            self._silence.on_answered(upstream)
+            self.silence.on_answered(upstream)
             after_s = now - flow.placed_at
             self.events.add(_events.Answered(packet.flow, upstream, after_s))
             if flow.upstream == upstream and len(flow.tried) == 1:
@@ -300,7 +301,7 @@
             item
             for item in self._usable(route, now)
             if item.instance.key not in tried
-            and not self._silence.is_avoided(item.instance.key, now)
+            and not self.silence.is_avoided(item.instance.key, now)
         ]
         if tried:
             near = [i for i in good if i.instance.zone == self._zone]
