Let avoided upstreams weigh more instead of leaving them out

With one miss enough and doubts shared, hosts were left one candidate of six (41 of 122 logged placements) and piled up to 15 flows on it. Ruled out: servers' lists (all live or rightly gone), routes (in force). Change: an avoided upstream gets the load of 0.7 flows a slot more; a host that avoids most of what it knows reports nothing; back-off 2 s at most.

--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -170,7 +170,7 @@
             session,
             mark,
             self.steering.revision,
-            self.steering.silence.avoided(now),
+            self.steering.reports(now),
         )
         self._endpoint.send(msg, address)
 
--- a/foxtailworks/steering/_choice.py
+++ b/foxtailworks/steering/_choice.py
@@ -26,13 +26,20 @@
         self._cfg = config
 
     def choose(
-        self, candidates: typing.Sequence[discovery.Known]
+        self,
+        candidates: typing.Sequence[discovery.Known],
+        is_avoided: abc.Callable[[_flows.InstanceKey], bool],
     ) -> discovery.Known | None:
-        """Return one of the candidates; None when there is none."""
+        """Return one of the candidates; None when there is none.
+
+        :param is_avoided: tells what had better get no new work
+        """
         best: list[discovery.Known] = []
         least = float("inf")
         for item in candidates:
             load = self._relative_load(item.instance)
+            if is_avoided(item.instance.key):
+                load += self._cfg.avoided_load
             if load < least:
                 best, least = [item], load
             elif load == least:
--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -26,8 +26,12 @@
     lost packet or a change of the routers costs an upstream no more."""
     doubt_s: float = 0.6
     """Other hosts' word on a silent upstream counts so long: two polls."""
-    max_back_off_s: float = 8.0
+    max_back_off_s: float = 2.0
     """Longest back-off; a cut that has healed is noticed within it."""
+    avoided_load: float = 0.7
+    """Load, in slots per slot, added to an avoided upstream's own: others
+    come first, until they have so much more to do that a vain try costs
+    less than waiting there."""
     closed_s: float = 2.0
     """A closed flow is remembered so long, so that its last packets don't
     count as an open one."""
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -204,7 +204,9 @@
         candidates = self._candidates(flow, route, now)
         if not candidates:
             candidates = self._usable(route, now)
-        chosen = self._chooser.choose(candidates)
+        chosen = self._chooser.choose(
+            candidates, lambda key: self.silence.is_avoided(key, now)
+        )
         if chosen is None:
             return _decisions.Reset(_Reason.NO_UPSTREAM)
         key = chosen.instance.key
@@ -277,6 +279,18 @@
             )
         )
 
+    def reports(self, now: float) -> tuple[_flows.InstanceKey, ...]:
+        """Return what other hosts should know to be silent.
+
+        Nothing while this host avoids most of what it knows: then it is
+        itself cut off, or was late.
+        """
+        avoided = self.silence.avoided(now)
+        known = sum(
+            self._roster.is_listed(item, now) for item in self._roster.all()
+        )
+        return avoided if 2 * len(avoided) <= known else ()
+
     def _usable(
         self, route: _routes.Route, now: float
     ) -> list[discovery.Known]:
@@ -291,22 +305,22 @@
     def _candidates(
         self, flow: _flows.Flow | None, route: _routes.Route, now: float
     ) -> list[discovery.Known]:
-        """Return the upstreams worth a try that had none yet.
+        """Return the upstreams that an opening wasn't tried at yet.
 
         After a first try without answer those of the own zone come first:
         a cut between zones is the likeliest cause that many share.
         """
-        tried = flow.tried if flow is not None else ()
-        good = [
+        usable = self._usable(route, now)
+        if flow is None:
+            return usable
+        fresh = [i for i in usable if i.instance.key not in flow.tried]
+        near = [
             item
-            for item in self._usable(route, now)
-            if item.instance.key not in tried
+            for item in fresh
+            if item.instance.zone == self._zone
             and not self.silence.is_avoided(item.instance.key, now)
         ]
-        if tried:
-            near = [i for i in good if i.instance.zone == self._zone]
-            return near or good
-        return good
+        return near or fresh
 
     def _service(self, route: _routes.Route) -> ids.ServiceId:
         """Draw a service by the weights of a route."""
