Hold openings only while their caller still waits

Change: an opening is held until its caller's next copy is due; copies renew it; expired ones make room.

--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -19,6 +19,11 @@
     unprompted: int = 2
     """Upstreams that an opening is tried at before the caller's copy shows
     that it still waits."""
+    copies_s: tuple[float, ...] = (0.2, 0.6, 1.4)
+    """Times after an opening at which its caller's next copy is due; after
+    the last one it gives up."""
+    copy_slack_s: float = 0.05
+    """How much later a copy may come."""
     max_held: int = 4096
     """Openings that wait for routes; more are dropped."""
     back_off_s: float = 0.25
--- a/foxtailworks/steering/_openings.py
+++ b/foxtailworks/steering/_openings.py
@@ -46,11 +46,22 @@
         self._answer_s = config.answer_min_s / config.answer_factor
 
     def hold(self, opening: Opening, now: float) -> bool:
-        """Keep an opening that can't be placed yet; false when full."""
+        """Keep an opening that can't be placed yet; false when full.
+
+        Until the caller's next copy is due: one that has left sends none.
+        """
         if len(self._held) >= self._cfg.max_held:
-            return False
-        until = now + self._cfg.opening_s
-        self._held.setdefault(opening.flow, (until, opening))
+            self._held = {
+                flow: item
+                for flow, item in self._held.items()
+                if now < item[0]
+            }
+            if len(self._held) >= self._cfg.max_held:
+                return False
+        copy = min(opening.copy, len(self._cfg.copies_s) - 1)
+        sent_s = (0.0, *self._cfg.copies_s)[copy]
+        wait_s = self._cfg.copies_s[copy] - sent_s + self._cfg.copy_slack_s
+        self._held[opening.flow] = (now + wait_s, opening)
         return True
 
     def release(self, now: float) -> abc.Iterator[Opening]:
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -126,8 +126,7 @@
     ) -> _decisions.Decision:
         """Decide on an opening packet."""
         if not self.revision:
-            if opening.copy == 0:
-                self._openings.hold(opening, now)
+            self._openings.hold(opening, now)
             return _decisions.Drop(_Reason.NOT_READY)
         route = self._routes.get(opening.destination)
         if route is None:
--- a/foxtailworks/steering/tests/test_steering.py
+++ b/foxtailworks/steering/tests/test_steering.py
@@ -306,3 +306,30 @@
     assert len(host.reports(0.1)) == 2
     host.silence.on_missed(upstream(3).key, 0.0)
     assert host.reports(0.1) == ()
+
+
+def without_routes():
+    fleet = Fleet(upstream(1))
+    return steering.Steering(
+        fleet.rosters[0], ids.ZoneId("a"), random.Random(1)
+    )
+
+
+def test_an_opening_whose_caller_has_left_is_not_placed():
+    host = without_routes()
+    host.open(opening(1), 0.0)
+    host.open(opening(2), 0.3)
+    host.put_routes(table())
+    # The first one's copy was due at 0.2 s and hasn't come.
+    found = [due.packet for due in host.on_tick(0.4)]
+    assert found == [b"syn2"]
+
+
+def test_an_opening_is_held_as_long_as_its_copies_come():
+    host = without_routes()
+    host.open(opening(1), 0.0)
+    host.open(opening(1, copy=1), 0.2)
+    host.open(opening(1, copy=2), 0.6)
+    assert list(host.on_tick(1.2)) == []
+    host.put_routes(table())
+    assert len(list(host.on_tick(1.3))) == 1
