End all suspicion when a coordinator answers again

Ruled out: piling on one upstream (six candidates, 0 to 2 flows open), lists. Change: a coordinator that answers after a second of silence shows a healed cut or a restart; a host then suspects nobody. Words of others count 0.4 s.

--- a/foxtailworks/coordinator/_doubts.py
+++ b/foxtailworks/coordinator/_doubts.py
@@ -7,8 +7,8 @@
 
 Key = tuple[discovery.InstanceId, ids.Incarnation]
 
-HOLD_S = 1.0
-"""A host's word counts so long; it is repeated while the host avoids."""
+HOLD_S = 0.6
+"""A host's word counts so long: two polls, which repeat it."""
 ENOUGH = 2
 """Hosts that must agree: one may itself be cut off or slow."""
 
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -28,6 +28,8 @@
 """A host that has just started calls itself ready so long without routes:
 routers ask twice a second, routes come within a tenth of one, and openings
 that come before are held."""
+REGAINED_S = 1.0
+"""A coordinator that was silent for so long, four polls, was lost."""
 FORGET_S = 60.0
 """A coordinator silent for so long is polled no more, unless a seed."""
 MAX_COORDINATORS = 64
@@ -127,7 +129,7 @@
             _EVENTS.warning("message_unexpected", kind=type(msg).__name__)
             return
         now = self._clock()
-        self._heard[src] = now
+        self._note_heard(src, now)
         if not self.roster.merge(src, msg.changes, now):
             _EVENTS.debug("changes_missed", coordinator=src)
         self.steering.silence.put_doubted(msg.doubted, now)
@@ -189,6 +191,13 @@
                 coordinator=src,
             )
 
+    def _note_heard(self, src: ids.Address, now: float) -> None:
+        """Note an answer; one after a long silence shows a healed cut."""
+        if now - self._heard.get(src, now) > REGAINED_S:
+            self.steering.silence.forgive()
+            _EVENTS.info("coordinator_regained", coordinator=src)
+        self._heard[src] = now
+
     def _learn(self, addresses: abc.Iterable[ids.Address], now: float) -> None:
         """Poll the coordinators that another one names, too."""
         for address in addresses:
--- a/foxtailworks/edge/tests/test_host.py
+++ b/foxtailworks/edge/tests/test_host.py
@@ -195,3 +195,24 @@
     counts = [len(driven.tick(1.0 + n / 50)) for n in range(50)]
     assert sum(counts[1:]) in range(18, 23)
     assert max(counts[1:]) <= 2
+
+
+def test_a_coordinator_that_answers_again_ends_all_suspicion():
+    # A cut has healed: what was silent behind it need not be any more.
+    driven = Driven()
+    registry = discovery.Registry(1, 3.0)
+    for number in (1, 2):
+        place = ids.Address(f"10.0.1.{number}", 80)
+        made = making.instance(f"i-{number}", address=place)
+        registry.announce(made, 0.0)
+    driven.host.take(answer(registry), SEED)
+    silent = place_and_miss(driven, 0.01)
+    assert driven.host.steering.silence.is_avoided(silent.key, 0.12)
+    driven.now = 0.2
+    driven.host.take(answer(registry), SEED)
+    assert driven.host.steering.silence.is_avoided(silent.key, 0.2)
+    driven.now = 0.2 + _host.REGAINED_S + 0.1
+    place_and_miss(driven, driven.now)
+    now = driven.now
+    driven.host.take(answer(registry), SEED)
+    assert not driven.host.steering.silence.avoided(now)
--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -29,8 +29,8 @@
     back_off_s: float = 0.25
     """First back-off, after one miss; doubles up to ``max_back_off_s``. A
     lost packet or a change of the routers costs an upstream no more."""
-    doubt_s: float = 0.6
-    """Other hosts' word on a silent upstream counts so long: two polls."""
+    doubt_s: float = 0.4
+    """Other hosts' word on a silent upstream counts so long: over a poll."""
     max_back_off_s: float = 2.0
     """Longest back-off; a cut that has healed is noticed within it."""
     avoided_load: float = 0.7
--- a/foxtailworks/steering/_silence.py
+++ b/foxtailworks/steering/_silence.py
@@ -61,6 +61,11 @@
         self._evidence.pop(upstream, None)
         self._doubted.pop(upstream, None)
 
+    def forgive(self) -> None:
+        """Suspect nobody any more."""
+        self._evidence.clear()
+        self._doubted.clear()
+
     def on_missed(self, upstream: _flows.InstanceKey, now: float) -> None:
         """Avoid an upstream, longer with each miss until it answers."""
         found = self._evidence.setdefault(upstream, _Evidence())
