Keep all that knows the platform's wire in its folder

Cause: the soak and the adapter's tests stood in deploy/, where the platform's names don't belong. Change: both stand in platform/; their tests run with a configuration of their own, since pytest takes the folder for Python's module from the root.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 unit: .venv/.done
 	$(PY) -m pytest
+	$(PY) -m pytest -c platform/tests/pytest.ini platform/tests
 
 behave: .venv/.done
 	$(PY) -m behave -f progress
@@ -56,10 +57,10 @@
 	$(BENCH) run $(SITES)/$(SITE).toml $(DAY)
 
 platform-soak: .venv/.done
-	$(PY) deploy/soak --seed $(SEED) --seconds $(SECONDS)
+	$(PY) platform/soak --seed $(SEED) --seconds $(SECONDS)
 
 short-soak: .venv/.done
-	$(PY) deploy/soak --seed 1 --seconds 10
+	$(PY) platform/soak --seed 1 --seconds 10
 
 clean:
 	rm -rf build var
