--- a/examples/tests/test_embedding.py
+++ b/examples/tests/test_embedding.py
@@ -30,6 +30,9 @@
     "requests.IdempotentRequests",
     "limits.Shares",
     "limits.Admission",
+    "discovery.Registry",
+    "discovery.Roster",
+    "steering.Steering",
 )
 
 
