--- a/foxtailworks/bench/__main__.py
+++ b/foxtailworks/bench/__main__.py
@@ -6,6 +6,7 @@
 import typer
 
 from foxtailworks.bench import _agreement
+from foxtailworks.bench import _choosing
 from foxtailworks.bench import _distribution
 from foxtailworks.bench import _figure
 from foxtailworks.bench import _limits
@@ -19,6 +20,7 @@
     "distribution": _distribution.figures,
     "requests": _requests.figures,
     "limits": _limits.figures,
+    "choosing": _choosing.figures,
     "placement": _placement.run,
 }
 
