--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(PY) -m mypy platform
 
 unit: .venv/.done
+	@cat KNOWN-RED.txt
 	$(PY) -m pytest
 	$(PY) -m pytest -c platform/tests/pytest.ini platform/tests
 
