--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -46,6 +46,6 @@
     """An upstream that has taken its leave ends within it; its flows are
     reset only afterwards, so that it may still end them itself."""
     max_flows: int = 200_000
-    """Flows remembered; 200 bytes each. Routing needs none of them."""
+    """Flows remembered, as a hint for choosing; routing needs none of them."""
     cold_load: float = 0.5
     """Load, in slots per slot, added to a cold upstream's own."""
