--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -15,6 +15,7 @@
 announced itself again by then."""
 MAX_INSTANCES = 16_384
 """Cap of the table; more are refused and announce themselves again."""
+_MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,7 +114,7 @@
         """Take heartbeats that another coordinator passed on."""
         for item in heard:
             if len(self._table) < MAX_INSTANCES:
-                self._take(item.instance, now - item.age_ms / 1000, now)
+                self._take(item.instance, now - item.age_ms / _MS_PER_S, now)
 
     def take_news(self) -> list[Listed]:
         """Return what changed since the last call, for logs."""
@@ -124,14 +125,16 @@
         """Return the heartbeats that the others haven't been told."""
         unshared, self._unshared = self._unshared, {}
         return tuple(
-            Heard(instance, max(0, round((now - at) * 1000)))
+            Heard(instance, max(0, round((now - at) * _MS_PER_S)))
             for instance, at in unshared.values()
         )
 
     def everything(self, now: float) -> tuple[Heard, ...]:
         """Return all rows, for a coordinator that has just started."""
         return tuple(
-            Heard(row.instance, max(0, round((now - row.heard_at) * 1000)))
+            Heard(
+                row.instance, max(0, round((now - row.heard_at) * _MS_PER_S))
+            )
             for row in self._table.rows()
         )
 
--- a/foxtailworks/edge/_audit.py
+++ b/foxtailworks/edge/_audit.py
@@ -20,6 +20,7 @@
 BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 """Upper bounds of the histograms' buckets, in seconds."""
 
+_MS_PER_S = 1000
 _EVENTS = logs.Events("flows")
 
 Describe = abc.Callable[[steering.FlowKey], str]
@@ -115,7 +116,7 @@
 
 def _ms(seconds: float) -> int:
     """Return a duration for a line."""
-    return round(seconds * 1000)
+    return round(seconds * _MS_PER_S)
 
 
 @functools.singledispatch
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -17,6 +17,7 @@
 from foxtailworks.steering import _tokens
 
 _Reason = _decisions.Reason
+_MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -260,7 +261,7 @@
                 self._note_ended(packet.flow, flow, _events.Ending.CLOSED, now)
             self._flows.closed(packet.flow, upstream, now)
         else:
-            until = now + route.timeout_ms / 1000
+            until = now + route.timeout_ms / _MS_PER_S
             self._flows.seen(packet.flow, upstream, until)
 
     def _note_expired(
