--- /dev/null
+++ b/deploy/tests/test_boundary.py
@@ -0,0 +1,70 @@
+"""The platform's names end at this folder, and Python's stay Python's."""
+
+import os
+import pathlib
+import re
+import subprocess
+import sys
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[2]
+# Names of the wire that mean nothing in the product.
+WIRE = re.compile(
+    r"weightedBackends|pathPrefix|concurrencyLimit|coldRemainingMs"
+    r"|heartbeatUrl|targetLatencyMs|datagramAddr|internalPortRange"
+    r"|heartbeatIntervalMs|toleranceMember|FOXTAILWORKS_SETTINGS"
+    r"|/v1/(instances|configuration|ready)"
+)
+OUTSIDE = sorted((ROOT / "foxtailworks").rglob("*.py"))
+MAX_LINES = 900
+
+
+@pytest.mark.parametrize(
+    "path", OUTSIDE, ids=lambda p: str(p.relative_to(ROOT))
+)
+def test_no_wire_name_stands_outside(path):
+    assert WIRE.search(path.read_text()) is None
+
+
+def test_the_adapter_stays_small():
+    files = (ROOT / "platform").glob("*.py")
+    assert sum(len(f.read_text().splitlines()) for f in files) < MAX_LINES
+
+
+def test_the_folder_is_no_package():
+    assert not (ROOT / "platform" / "__init__.py").exists()
+
+
+SHOW = "import platform; print(platform.python_version())"
+
+
+def run(arguments, folder):
+    """Return what a program started in ``folder`` prints."""
+    env = {**os.environ, "PYTHONPATH": str(ROOT)}
+    found = subprocess.run(
+        [sys.executable, *arguments],
+        cwd=folder,
+        env=env,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return found.stdout.strip()
+
+
+def test_python_keeps_its_module_at_the_root():
+    assert run(["-c", SHOW], ROOT) == sys.version.split()[0]
+
+
+def test_python_keeps_its_module_beside_the_product():
+    show = f"import foxtailworks.errors; {SHOW}"
+    assert run(["-c", show], ROOT) == sys.version.split()[0]
+
+
+def test_python_keeps_its_module_under_the_adapters_programs(tmp_path):
+    # As they are started: their folder, of this name, leads the path.
+    script = tmp_path / "platform" / "shows.py"
+    script.parent.mkdir()
+    script.write_text(SHOW)
+    assert run(["platform/shows.py"], tmp_path) == sys.version.split()[0]
--- /dev/null
+++ b/deploy/tests/test_documents.py
@@ -0,0 +1,79 @@
+"""Valid configurations are read whole, invalid ones never acknowledged."""
+
+import json
+
+import fw_documents
+import fw_samples
+import pytest
+
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import steering
+
+
+def read(made):
+    return fw_documents.read(json.dumps(made).encode())
+
+
+def with_route(**changes):
+    made = fw_samples.document()
+    made["routes"][0].update(changes)
+    return made
+
+
+def test_a_document_is_read():
+    table = read(fw_samples.document())
+    assert (table.revision, table.idle_timeout_ms) == (7, 9000)
+    first, second = table.routes
+    assert first.destination == ids.Address("198.18.0.1", 8443)
+    assert [(s.service, s.weight) for s in first.shares] == [
+        ("desk", 90),
+        ("vault", 10),
+    ]
+    assert second.kind is steering.RequestKind.DOWNLOAD
+    assert (
+        steering.decode_table(
+            fw_documents.compile_table(
+                json.dumps(fw_samples.document()).encode()
+            )
+        )
+        == table
+    )
+
+
+@pytest.mark.parametrize(
+    "made",
+    [
+        with_route(timeoutMs=0),
+        with_route(timeoutMs=-1),
+        with_route(timeoutMs="500"),
+        with_route(host="example.org"),
+        with_route(host="198.18.0.2"),
+        with_route(pathPrefix="/"),
+        with_route(pathPrefix="/99999/"),
+        with_route(weightedBackends=[{"service": "none", "weight": 1}]),
+        with_route(weightedBackends=[{"service": "desk", "weight": 0}]),
+        with_route(weightedBackends=[]),
+        fw_samples.document(version=0),
+        fw_samples.document(version="7"),
+        fw_samples.document(version=7.5),
+        fw_samples.document(routes=None),
+        fw_samples.document(services=[]),
+        [],
+        None,
+    ],
+)
+def test_an_invalid_document_has_a_reason(made):
+    with pytest.raises(errors.FoxtailError) as caught:
+        read(made)
+    assert caught.value.code is errors.Code.CONTRACT_INVALID
+    assert caught.value.detail
+
+
+def test_a_document_cut_short_anywhere_is_refused():
+    body = json.dumps(fw_samples.document()).encode()
+    for size in range(0, len(body), 7):
+        with pytest.raises(errors.FoxtailError):
+            fw_documents.read(body[:size])
+    with pytest.raises(errors.FoxtailError):
+        fw_documents.read(b"\xff" + body)
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -57,6 +57,7 @@
 
     :param compile_table: turns a document into routes for edge hosts
     :param clock: seconds that also pass while the process is stopped
+    :param open_files: opens the journal's folder; again after a failure
     """
 
     def __init__(
@@ -65,8 +66,12 @@
         compile_table: Compile,
         clock: abc.Callable[[], float],
         rng: random.Random,
+        open_files: abc.Callable[[], journal.Files] | None = None,
     ) -> None:
         self._cfg = cfg
+        self._open_files = open_files or (
+            lambda: journal.DiskFiles(cfg.data_folder)
+        )
         self._compile = compile_table
         self._clock = clock
         self._rng = rng
@@ -93,8 +98,7 @@
         """Read the disk; tried again later when it refuses."""
         self._reopen_at = now + REOPEN_S
         try:
-            files = journal.DiskFiles(self._cfg.data_folder)
-            disk = journal.Journal(files, _new_keeper)
+            disk = journal.Journal(self._open_files(), _new_keeper)
         except errors.FoxtailError as exc:
             _EVENTS.failed("disk_refused", exc)
             return
--- /dev/null
+++ b/foxtailworks/edge/tests/test_host.py
@@ -0,0 +1,136 @@
+"""An edge host finds all coordinators and outlives each of them."""
+
+import random
+
+import pytest
+
+from foxtailworks import discovery
+from foxtailworks.discovery.tests import making
+from foxtailworks import edge
+from foxtailworks.edge import _host
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import polling
+from foxtailworks import steering
+
+SEED = ids.Address("10.0.0.1", 7000)
+OTHER = ids.Address("10.0.0.2", 7000)
+PLACE = ids.Address("198.18.0.1", 443)
+
+
+class Port:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, msg, target):
+        self.sent.append((msg, target))
+
+
+class Driven:
+    """A host with a clock and a port of the test's."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.port = Port()
+        self.passed = []
+        cfg = edge.Settings(
+            ids.HostId("e1"),
+            ids.ZoneId("a"),
+            ids.Address("10.0.0.9", 7001),
+            (SEED,),
+        )
+        self.host = edge.Host(
+            cfg, lambda: self.now, random.Random(1), self.passed.append
+        )
+        self.host.attach(self.port)
+
+    def tick(self, now):
+        self.now = now
+        self.port.sent.clear()
+        self.host.on_tick(now)
+        return {target for _, target in self.port.sent}
+
+
+def answer(registry, revision=1, known=(SEED,), with_table=True):
+    route = steering.Route(
+        PLACE,
+        (steering.Share(ids.ServiceId("desk"), 1),),
+        steering.RequestKind.IDEMPOTENT,
+        500,
+        100,
+        1,
+    )
+    table = steering.encode_table(
+        steering.RouteTable(revision, (route,), 15_000)
+    )
+    return polling.PollAnswer(
+        registry.changes(0, 0), revision, table if with_table else b"", known
+    )
+
+
+def test_coordinators_that_another_names_are_polled_too():
+    driven = Driven()
+    assert driven.tick(0.0) == {SEED}
+    registry = discovery.Registry(1, 3.0)
+    driven.host.take(answer(registry, known=(SEED, OTHER)), SEED)
+    assert driven.tick(1.0) == {SEED, OTHER}
+
+
+def test_a_lagging_coordinator_does_not_bring_old_routes_back():
+    driven = Driven()
+    registry = discovery.Registry(1, 3.0)
+    driven.host.take(answer(registry, revision=9), SEED)
+    driven.host.take(answer(registry, revision=4), OTHER)
+    assert driven.host.steering.revision == 9
+
+
+def test_a_host_without_routes_is_ready_only_while_it_starts():
+    driven = Driven()
+    assert driven.host.is_ready
+    driven.tick(_host.STARTING_S + 0.1)
+    assert not driven.host.is_ready
+    registry = discovery.Registry(1, 3.0)
+    driven.host.take(answer(registry), SEED)
+    assert driven.host.is_ready
+
+
+def test_a_host_that_leaves_is_not_ready_and_still_steers():
+    driven = Driven()
+    registry = discovery.Registry(1, 3.0)
+    registry.announce(making.instance(), 0.0)
+    driven.host.take(answer(registry), SEED)
+    driven.host.withdraw()
+    assert not driven.host.is_ready
+    flow = steering.FlowKey(bytes(12))
+    found = driven.host.steering.open(
+        steering.Opening(flow, PLACE, 0, b"syn"), 0.0
+    )
+    assert isinstance(found, steering.Forward)
+
+
+def test_an_opening_that_waited_is_passed_on():
+    driven = Driven()
+    flow = steering.FlowKey(bytes(12))
+    opening = steering.Opening(flow, PLACE, 0, b"syn")
+    driven.host.steering.open(opening, 0.0)
+    registry = discovery.Registry(1, 3.0)
+    registry.announce(making.instance(), 0.0)
+    driven.host.take(answer(registry), SEED)
+    driven.tick(0.1)
+    assert [due.packet for due in driven.passed] == [b"syn"]
+
+
+def test_unreadable_routes_leave_those_in_force():
+    driven = Driven()
+    registry = discovery.Registry(1, 3.0)
+    driven.host.take(answer(registry, revision=3), SEED)
+    broken = polling.PollAnswer(registry.changes(0, 0), 5, b"x", (SEED,))
+    driven.host.take(broken, SEED)
+    assert driven.host.steering.revision == 3
+
+
+def test_settings_without_seeds_are_refused():
+    with pytest.raises(errors.FoxtailError):
+        edge.Settings(
+            ids.HostId("e1"), ids.ZoneId("a"), ids.Address("10.0.0.9", 1), ()
+        )
--- /dev/null
+++ b/foxtailworks/revisions/tests/test_register.py
@@ -0,0 +1,44 @@
+"""The highest revision wins, in any order."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from foxtailworks import errors
+from foxtailworks import revisions
+
+
+def put(revision, text=b"text"):
+    return revisions.encode_put(revisions.Put.of(revision, text))
+
+
+@hypothesis.given(st.lists(st.integers(1, 9), min_size=1))
+def test_any_order_ends_with_the_highest(order):
+    register = revisions.Register()
+    for index, revision in enumerate(order, 1):
+        outcome = register.apply(index, put(revision, b"%d" % revision))
+        newest = revision > max(order[: index - 1], default=0)
+        assert (outcome is revisions.Outcome.IN_FORCE) == newest
+    assert register.held.revision == max(order)
+    assert register.held.text() == b"%d" % max(order)
+
+
+def test_other_content_under_the_same_number_is_not_kept():
+    register = revisions.Register()
+    register.apply(1, put(7, b"first"))
+    assert register.apply(2, put(7, b"second")) is revisions.Outcome.OVERTAKEN
+    assert register.held.text() == b"first"
+
+
+def test_a_snapshot_gives_the_same_register():
+    register = revisions.Register()
+    register.apply(3, put(7, b"first"))
+    again = revisions.restore(3, register.snapshot())
+    assert (again.index, again.held) == (3, register.held)
+
+
+def test_an_entry_is_applied_once():
+    register = revisions.Register()
+    register.apply(3, put(7))
+    with pytest.raises(errors.FoxtailError):
+        register.apply(3, put(8))
--- /dev/null
+++ b/foxtailworks/steering/tests/test_steering.py
@@ -0,0 +1,255 @@
+"""Each packet to the one upstream of its flow, or to none."""
+
+import random
+
+import pytest
+
+from foxtailworks import discovery
+from foxtailworks.discovery.tests import making
+from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import steering
+
+PLACE = ids.Address("198.18.0.1", 443)
+PEER = ids.Address("10.0.0.1", 1)
+DESK = ids.ServiceId("desk")
+CONFIG = steering.Config()
+
+
+def route(destination=PLACE, service=DESK):
+    return steering.Route(
+        destination,
+        (steering.Share(service, 1),),
+        steering.RequestKind.IDEMPOTENT,
+        500,
+        100,
+        1,
+    )
+
+
+def table(revision=1, routes=None):
+    return steering.RouteTable(revision, routes or (route(),), 15_000)
+
+
+class Fleet:
+    """A registry, and hosts that know it."""
+
+    def __init__(self, *instances, hosts=1, seed=1):
+        self.registry = discovery.Registry(1, 3.0)
+        self.rosters = [discovery.Roster() for _ in range(hosts)]
+        self.hosts = [
+            steering.Steering(roster, ids.ZoneId("a"), random.Random(seed))
+            for roster in self.rosters
+        ]
+        for host in self.hosts:
+            host.put_routes(table())
+        for item in instances:
+            self.announce(item)
+
+    def announce(self, item, now=0.0):
+        self.registry.announce(item, now)
+        self.sync(now)
+
+    def sync(self, now):
+        for roster in self.rosters:
+            changes = self.registry.changes(*roster.progress(PEER))
+            roster.merge(PEER, changes, now)
+
+
+def upstream(number, **changes):
+    return making.instance(
+        f"i-{number}", address=ids.Address(f"10.0.1.{number}", 80), **changes
+    )
+
+
+def opening(number=1, copy=0, place=PLACE):
+    flow = steering.FlowKey(number.to_bytes(12, "big"))
+    return steering.Opening(flow, place, copy, b"syn%d" % number)
+
+
+def packet(item, token, ended=False):
+    return steering.Packet(item.flow, item.destination, token, ended)
+
+
+def test_any_host_forwards_a_flow_by_its_token_alone():
+    fleet = Fleet(*(upstream(n) for n in range(1, 8)), hosts=4)
+    for number in range(100):
+        item = opening(number)
+        placed = fleet.hosts[0].open(item, 0.0)
+        for host in fleet.hosts[1:]:
+            found = host.forward(packet(item, placed.token), 0.1)
+            assert found.instance == placed.instance
+
+
+def test_an_unknown_token_is_never_guessed_at():
+    fleet = Fleet(upstream(1))
+    found = fleet.hosts[0].forward(packet(opening(), steering.Token(9)), 0.0)
+    assert found == steering.Drop(steering.Reason.UNKNOWN_TOKEN)
+
+
+def test_colliding_tokens_are_neither_given_nor_followed(monkeypatch):
+    from foxtailworks.steering import _tokens
+
+    real = _tokens.token_of
+
+    def same_for_two(instance, incarnation):
+        if instance in ("i-1", "i-2"):
+            return steering.Token(42)
+        return real(instance, incarnation)
+
+    monkeypatch.setattr(_tokens, "token_of", same_for_two)
+    fleet = Fleet(upstream(1), upstream(2), upstream(3))
+    for number in range(50):
+        placed = fleet.hosts[0].open(opening(number), 0.0)
+        assert placed.instance.instance == "i-3"
+    found = fleet.hosts[0].forward(packet(opening(), steering.Token(42)), 0.0)
+    assert found == steering.Drop(steering.Reason.UNKNOWN_TOKEN)
+
+
+def test_a_restart_under_the_same_id_has_another_token():
+    fleet = Fleet(upstream(1, born=100))
+    item = opening()
+    old = fleet.hosts[0].open(item, 0.0)
+    fleet.announce(upstream(1, born=200), 1.0)
+    new = fleet.hosts[0].open(opening(2), 1.0)
+    assert old.token != new.token
+    early = fleet.hosts[0].forward(packet(item, old.token), 1.1)
+    assert early == steering.Drop(steering.Reason.UPSTREAM_GONE)
+    late = 1.0 + CONFIG.exit_s
+    found = fleet.hosts[0].forward(packet(item, old.token), late)
+    assert found == steering.Reset(steering.Reason.UPSTREAM_GONE)
+
+
+def test_a_draining_upstream_keeps_its_flows_and_gets_no_others():
+    fleet = Fleet(upstream(1))
+    item = opening()
+    placed = fleet.hosts[0].open(item, 0.0)
+    fleet.announce(upstream(1, sequence=2, state=making.DRAINING), 0.1)
+    kept = fleet.hosts[0].forward(packet(item, placed.token), 0.2)
+    assert kept.instance.instance == "i-1"
+    refused = fleet.hosts[0].open(opening(2), 0.2)
+    assert refused == steering.Reset(steering.Reason.NO_UPSTREAM)
+
+
+def test_a_dropped_route_ends_its_flows():
+    fleet = Fleet(upstream(1))
+    item = opening()
+    placed = fleet.hosts[0].open(item, 0.0)
+    other = route(ids.Address("198.18.0.2", 443))
+    assert fleet.hosts[0].put_routes(table(2, (other,)))
+    found = fleet.hosts[0].forward(packet(item, placed.token), 0.1)
+    assert found == steering.Reset(steering.Reason.NO_ROUTE)
+
+
+def test_an_older_table_never_comes_back_in_force():
+    fleet = Fleet(upstream(1))
+    assert fleet.hosts[0].put_routes(table(5))
+    assert not fleet.hosts[0].put_routes(table(4))
+    assert not fleet.hosts[0].put_routes(table(5))
+    assert fleet.hosts[0].revision == 5
+
+
+def test_an_unknown_route_is_answered_for_certain_at_the_copy():
+    host = Fleet(upstream(1)).hosts[0]
+    place = ids.Address("198.18.0.9", 1)
+    first = host.open(opening(1, 0, place), 0.0)
+    assert first == steering.Drop(steering.Reason.NO_ROUTE)
+    second = host.open(opening(1, 1, place), 0.2)
+    assert second == steering.Reset(steering.Reason.NO_ROUTE)
+
+
+def test_an_opening_that_comes_before_the_routes_is_placed_with_them():
+    fleet = Fleet(upstream(1))
+    host = steering.Steering(
+        fleet.rosters[0], ids.ZoneId("a"), random.Random(1)
+    )
+    item = opening()
+    assert host.open(item, 0.0) == steering.Drop(steering.Reason.NOT_READY)
+    assert list(host.on_tick(0.1)) == []
+    host.put_routes(table())
+    (found,) = host.on_tick(0.2)
+    assert found.packet == item.packet
+    assert found.decision.instance.instance == "i-1"
+    assert list(host.on_tick(0.21)) == []
+
+
+def test_an_unanswered_opening_is_placed_elsewhere_at_once():
+    fleet = Fleet(upstream(1), upstream(2), upstream(3))
+    host = fleet.hosts[0]
+    item = opening()
+    first = host.open(item, 0.0)
+    assert list(host.on_tick(CONFIG.answer_min_s - 0.01)) == []
+    (second,) = host.on_tick(CONFIG.answer_min_s + 0.01)
+    (third,) = host.on_tick(2 * CONFIG.answer_min_s + 0.03)
+    assert list(host.on_tick(1.0)) == [], "three upstreams at most"
+    tried = {
+        d.instance.instance for d in (first, second.decision, third.decision)
+    }
+    assert tried == {"i-1", "i-2", "i-3"}
+
+
+def test_an_answered_opening_is_placed_once():
+    host = Fleet(upstream(1), upstream(2)).hosts[0]
+    item = opening()
+    placed = host.open(item, 0.0)
+    host.forward(packet(item, placed.token), 0.01)
+    assert list(host.on_tick(1.0)) == []
+
+
+def test_the_second_try_stays_in_the_own_zone_if_it_can():
+    far = [upstream(n, zone=ids.ZoneId("b")) for n in range(1, 6)]
+    near = upstream(9, zone=ids.ZoneId("a"))
+    for seed in range(20):
+        host = Fleet(*far, near, seed=seed).hosts[0]
+        first = host.open(opening(), 0.0)
+        if first.instance.zone == "a":
+            continue
+        (second,) = host.on_tick(0.05)
+        assert second.decision.instance.instance == "i-9"
+
+
+def test_a_silent_upstream_is_avoided_and_tried_again_later():
+    host = Fleet(upstream(1), upstream(2)).hosts[0]
+    now, dead = 0.0, "i-1"
+    chosen = []
+    for number in range(400):
+        now += 0.01
+        item = opening(number)
+        decisions = [host.open(item, now)]
+        decisions += [due.decision for due in host.on_tick(now)]
+        for found in decisions:
+            if found.instance.instance != dead:
+                host.forward(packet(item, found.token, True), now + 0.001)
+        chosen.append(decisions[0].instance.instance)
+    assert chosen[100:].count(dead) <= 6
+    assert dead in chosen[100:], "it is tried again after a back-off"
+
+
+def test_open_flows_are_spread_by_free_slots():
+    fleet = Fleet(upstream(1, slots=2), upstream(2, slots=4))
+    counts = {"i-1": 0, "i-2": 0}
+    for number in range(60):
+        item = opening(number)
+        found = fleet.hosts[0].open(item, 0.0)
+        fleet.hosts[0].forward(packet(item, found.token), 0.0)
+        counts[found.instance.instance] += 1
+    assert counts == {"i-1": 20, "i-2": 40}
+
+
+def test_a_route_needs_a_service_and_a_time():
+    with pytest.raises(errors.FoxtailError):
+        steering.Route(
+            PLACE,
+            (steering.Share(DESK, 0),),
+            steering.RequestKind.IDEMPOTENT,
+            500,
+            100,
+            1,
+        )
+    with pytest.raises(errors.FoxtailError):
+        table(1, (route(), route()))
+
+
+def test_a_table_survives_the_wire():
+    found = steering.decode_table(steering.encode_table(table(3)))
+    assert found == table(3)
