A port that is used again after its flow's end begins a new flow

Cause, found in reading: a flow that has ended is remembered for 2 s so that its last packets don't count; an opening from the same port within that time was taken for a second try of the ended flow: the upstream that had served it was left out and other zones weighed down.

Test first: twenty flows one after the other from one port; the second was told as attempt 2 with one candidate of two.

Change: an ended flow is no earlier try. A flow that is open stays one: the opening may be a late copy.

--- a/foxtailworks/steering/_flows.py
+++ b/foxtailworks/steering/_flows.py
@@ -56,13 +56,23 @@
         """Return a flow, if it is remembered."""
         return self._flows.get(key)
 
+    def earlier_try(self, key: FlowKey) -> Flow | None:
+        """Return the flow that an opening packet belongs to, if any.
+
+        A port that is used again after its flow has ended begins another.
+        """
+        flow = self._flows.get(key)
+        if flow is None or flow.phase is Phase.CLOSED:
+            return None
+        return flow
+
     def open_at(self, upstream: InstanceKey) -> int:
         """Return how many flows are open or opening at an upstream."""
         return self._open[upstream]
 
     def opened(self, key: FlowKey, upstream: InstanceKey, now: float) -> None:
         """Note an opening packet that was placed."""
-        old = self._flows.get(key)
+        old = self.earlier_try(key)
         tried = (*old.tried, upstream) if old is not None else (upstream,)
         until = now + self._cfg.opening_s
         self._put(key, Flow(upstream, Phase.OPENING, until, tried, now))
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -204,7 +204,7 @@
         After a first try without answer the own zone goes first: a cut
         between zones is the likeliest cause that many share.
         """
-        flow = self._flows.get(opening.flow)
+        flow = self._flows.earlier_try(opening.flow)
         candidates = self._candidates(flow, route, now)
         if not candidates:
             candidates = self._usable(route, now)
--- a/foxtailworks/steering/tests/test_steering.py
+++ b/foxtailworks/steering/tests/test_steering.py
@@ -341,3 +341,15 @@
     second = [due.decision.instance.instance for due in host.on_tick(0.05)]
     assert len(second) == 20
     assert 0 < second.count("i-9") <= 8, "two slots of twelve"
+
+
+def test_a_port_that_is_used_again_begins_a_new_flow():
+    # The first flow has ended; it says nothing against its upstream.
+    fleet = Fleet(upstream(1), upstream(2, zone=ids.ZoneId("b")))
+    host = fleet.hosts[0]
+    for number in range(20):
+        now = float(number) / 10
+        found = host.open(opening(1), now)
+        assert host.events.take()[0].attempt == 1
+        host.forward(packet(opening(1), found.token, ended=True), now + 0.01)
+        host.events.take()
