Say what operators' answers need of a keeper; no module imports a cycle

Ruled out: moving decide and confirm_read into a module of their own (they share the node and the pump with the program).

Change: the answers' needs stand as a protocol, Owner, in _operators; the program meets it by its shape. A new check of the layout follows imports, for type checkers included, and names each module that reaches itself; it failed with just these two, and a planted cycle of three is found.

Conclusion: no cycle is left among the product's modules.

--- a/foxtailworks/keeper/_operators.py
+++ b/foxtailworks/keeper/_operators.py
@@ -11,22 +11,45 @@
 from foxtailworks import contracts
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks.keeper import _entries
 from foxtailworks.keeper import _messages
-
-if typing.TYPE_CHECKING:
-    from foxtailworks.keeper import _program
+from foxtailworks.keeper import _node
+from foxtailworks.keeper import _peers
 
 POLL_S = 0.05
 # A change of keepers is answered when it is done, or given up after this.
 CHANGE_TIMEOUT_S = 60.0
 
 
+class Owner(typing.Protocol):
+    """What answers need of the program that owns the node."""
+
+    node: _node.Node
+    """The replicated contracts."""
+    peers: _peers.PeerLinks
+    """Links to the other keepers."""
+    subscribers: _entries.Subscribers
+    """Entry hosts and what they have in force."""
+
+    def address_of(self, keeper: ids.KeeperId) -> ids.Address | None:
+        """Return where a keeper listens."""
+
+    async def decide(
+        self, command: contracts.Command
+    ) -> contracts.Outcome | None:
+        """Propose a command and wait until it is committed."""
+
+    async def change_members(self, members: agreement.Membership) -> None:
+        """Propose a membership and wait until it is committed."""
+
+    async def confirm_read(self) -> None:
+        """Wait until this keeper's state is known not to be stale."""
+
+
 class Operators:
     """Reads and edits through the program that owns the node."""
 
-    def __init__(
-        self, program: "_program.Program", clock: abc.Callable[[], float]
-    ) -> None:
+    def __init__(self, program: Owner, clock: abc.Callable[[], float]) -> None:
         self._program = program
         self._clock = clock
 
--- a/foxtailworks/tests/test_layout.py
+++ b/foxtailworks/tests/test_layout.py
@@ -69,3 +69,58 @@
 )
 def test_the_check_tells_modules_from_objects(text, count):
     assert len(objects_imported(text)) == count
+
+
+def module_name(path):
+    """Return the dotted name of a file under the root."""
+    parts = path.relative_to(ROOT).with_suffix("").parts
+    return ".".join(parts).removesuffix(".__init__")
+
+
+def import_graph(texts):
+    """Return which modules each one imports, for type checkers included.
+
+    :param texts: module name -> source
+    """
+    graph = {}
+    for name, text in texts.items():
+        found = set()
+        for package, item, _ in imports_of(ast.parse(text)):
+            inner = f"{package}.{item}"
+            found.add(inner if inner in texts else package)
+        graph[name] = found & texts.keys() - {name}
+    return graph
+
+
+def cycles_in(graph):
+    """Return the modules that reach themselves."""
+
+    def reached_from(start):
+        reached, ahead = set(), [start]
+        while ahead:
+            for item in graph[ahead.pop()] - reached:
+                reached.add(item)
+                ahead.append(item)
+        return reached
+
+    return sorted(name for name in graph if name in reached_from(name))
+
+
+def test_no_module_imports_itself_through_others():
+    texts = {
+        module_name(path): path.read_text()
+        for path in (ROOT / "foxtailworks").rglob("*.py")
+        if "tests" not in path.parts
+    }
+    assert cycles_in(import_graph(texts)) == []
+
+
+def test_the_check_finds_a_cycle():
+    texts = {
+        "a._one": "from a import _two",
+        "a._two": "if True:\n    from a import _three",
+        "a._three": "from a._one import name",
+        "a._four": "from a import _one",
+    }
+    found = cycles_in(import_graph(texts))
+    assert found == ["a._one", "a._three", "a._two"]
