A program that starts isn't ended by the signal to read its settings

SIGHUP was caught only once the ports were open, and again not after the watch had ended; until then it ends a process. On the platform "hup" goes to three hosts of ten and may meet a restart.

Ruled out: load (the log shows the order); the new faults of disks and links (none was played on that host).

--- a/foxtailworks/service/_service.py
+++ b/foxtailworks/service/_service.py
@@ -38,8 +38,12 @@
 def run(main: Main, log_level: str = "info") -> int:
     """Run ``main`` until it ends; return the exit code.
 
+    SIGHUP is ignored but within :func:`watching`: it says that settings
+    have changed, and by itself it would end the program.
+
     :param main: gets the event that SIGTERM and SIGINT set
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     with logs.logging_to(logs.Pipe(sys.stdout), log_level):
         _EVENTS.info("started", pid=os.getpid())
         try:
@@ -106,12 +110,17 @@
 async def watching(
     path: pathlib.Path, reload: abc.Callable[[], None]
 ) -> abc.AsyncIterator[None]:
-    """Call ``reload`` at SIGHUP and when the file has changed."""
+    """Call ``reload`` at SIGHUP and when the file has changed.
+
+    It is called once at the beginning, too: the file may have changed since
+    it was read, and the signal that said so wasn't heard.
+    """
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload)
+    mark = _mark(path)
+    reload()
 
-    async def watch() -> None:
-        last = _mark(path)
+    async def watch(last: tuple[int, int, int] | None) -> None:
         while True:
             await asyncio.sleep(WATCH_S)
             mark = _mark(path)
@@ -119,12 +128,13 @@
                 last = mark
                 reload()
 
-    task = asyncio.ensure_future(watch())
+    task = asyncio.ensure_future(watch(mark))
     try:
         yield
     finally:
         task.cancel()
         loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 def _mark(path: pathlib.Path) -> tuple[int, int, int] | None:
