What waited in a frozen host's socket begins no run

Cause: walk 466 (120 steps; steps 9, 15, 21 and 43 are enough): a host is frozen for 30 s with a request in its socket; another attempt of the key is told "not run" by other hosts and its key stays quiet for 2.5 s; when the first host goes on, it takes the old datagram for a new one and runs it.

Ruled out: a longer quiet time (a host may be frozen for any time, and each refused caller would have to wait as long); an age in the datagram (callers' clocks differ).

Change: a host whose ticks, 20 a second, were missing for over 1 s takes what arrives until 0.5 s after it goes on for something that may have waited: it begins no run for it and passes it on to nobody, but answers "outcome unknown, ask again". What is under way or answered is joined as before.

Test first: the walk, whole and cut down to four steps, failed.

--- a/foxtailworks/bench/_request_world.py
+++ b/foxtailworks/bench/_request_world.py
@@ -306,7 +306,9 @@
         """Route a caller's datagram and begin it."""
         if not host.is_up:
             return
-        other = None if passed else host.coordinator.route(arrival.key)
+        waited = host.coordinator.may_have_waited(self.now)
+        stays = passed or waited
+        other = None if stays else host.coordinator.route(arrival.key)
         if other is None:
             self._event(
                 host, lambda: host.coordinator.request(self.now, arrival)
--- a/foxtailworks/entry/_keyed.py
+++ b/foxtailworks/entry/_keyed.py
@@ -51,6 +51,9 @@
     def take(self, call: _replies.Call, now: float) -> None:
         """Take a request in, from a caller or from another host."""
         key = call.req.request_key(call.route.key, call.packet.source)
+        if self._coordinator.may_have_waited(now):
+            self.admitted(call)
+            return
         host = self._coordinator.route(key)
         if host is not None and call.packet.hops < MAX_HOPS:
             self._pass_on(call, host)
--- a/foxtailworks/requests/_base.py
+++ b/foxtailworks/requests/_base.py
@@ -12,6 +12,7 @@
 from foxtailworks.requests import _entry
 from foxtailworks.requests import _groups
 from foxtailworks.requests import _messages
+from foxtailworks.requests import _stops
 from foxtailworks.requests import _store
 
 # Longer than an attempt may be on its way to its placement at any host:
@@ -59,6 +60,7 @@
         self._kept_bytes = 0
         self._ran: list[_actions.Ran] = []
         self._is_leaving = False
+        self._stops = _stops.Stops()
         self._inbox: list[_messages.Message] = []
         self._out: list[_actions.Action] = []
 
--- a/foxtailworks/requests/_coordinator.py
+++ b/foxtailworks/requests/_coordinator.py
@@ -58,6 +58,9 @@
     def request(self, now: float, arrival: _actions.Arrival) -> _Actions:
         """Take in a request, its retransmission or its retry."""
         entry = self._entries.get(arrival.key)
+        if entry is None or entry.state is _State.UNKNOWN:
+            if self.may_have_waited(now):
+                return (self._turn_away(arrival),)
         if entry is None:
             entry = self._open(arrival)
             if entry is None or not entry.join(now, arrival):
@@ -67,6 +70,14 @@
             self._join(now, entry, arrival)
         return self._flush(now)
 
+    def may_have_waited(self, now: float) -> bool:
+        """Tell whether this process was stopped while a request came.
+
+        Such a one begins nothing and is passed on to nobody: its caller may
+        have been told meanwhile that nothing ran.
+        """
+        return self._stops.may_have_waited(now)
+
     def refuse(
         self, now: float, arrival: _actions.Arrival, retry_after_s: float
     ) -> _Actions:
@@ -163,7 +174,8 @@
         return self._flush(now)
 
     def tick(self, now: float) -> _Actions:
-        """Do what is due; call it some times a second."""
+        """Do what is due; call it twenty times a second."""
+        self._stops.tick(now)
         while self._wakes and self._wakes[0][0] <= now:
             at, _, key = heapq.heappop(self._wakes)
             entry = self._entries.get(key)
--- a/foxtailworks/requests/tests/test_at_most_once.py
+++ b/foxtailworks/requests/tests/test_at_most_once.py
@@ -74,6 +74,13 @@
     assert runs > 30
 
 
+def test_a_walk_in_which_a_request_waited_in_a_frozen_host():
+    # Another attempt of its key was told that it hadn't run.
+    for steps in ((9, 15, 21, 43), range(120)):
+        world, _ = _request_walk.play(466, steps)
+        assert not any(world.counts_of_violations().values())
+
+
 def test_a_walk_in_which_a_host_left_that_had_lost_its_memory():
     world, _ = _request_walk.play(259, range(120), True)
     assert not any(world.counts_of_violations().values())
