Entry hosts leave their memory of requests on their disk at a planned stop

Change: a setting, memory_folder. At the end of a graceful stop, when the others have what was handed over, the host writes its memory beside, renames and syncs; its next start reads it, removes it and syncs the folder before it grants anything, and vouches at once. A file that is missing, torn or another host's, a folder that refuses: as after a crash, with a log line each.

bench.rolling restarts all entry hosts under traffic, with and without.

--- a/foxtailworks/bench/_stage.py
+++ b/foxtailworks/bench/_stage.py
@@ -35,11 +35,13 @@
         net: int,
         entries: int = 6,
         keepers: int = 3,
+        has_memory: bool = True,
     ) -> None:
         self._folder = folder
         self._net = net
         self._entries = entries
         self._keepers = keepers
+        self._has_memory = has_memory
         self._starts: dict[str, int] = {}
         self._upstreams = 0
         self._edits = 0
@@ -130,7 +132,7 @@
     async def start_entry(self, name: str) -> None:
         """Start an entry host, anew or again."""
         place = int(name.rpartition("-")[2])
-        cfg = {
+        cfg: dict[str, object] = {
             "host": name,
             "zone": ZONES[(place - 1) % len(ZONES)],
             "region": "region",
@@ -142,6 +144,8 @@
             "keepers": self._keeper_addresses(),
             "seeds": [self._at(0, seed, 7100) for seed in (1, 2, 3)],
         }
+        if self._has_memory:
+            cfg["memory_folder"] = f"../memory-{name}"
         path = self._write(name, cfg)
         await self._start(name, "entry", "--settings", path)
 
--- a/foxtailworks/entry/_host.py
+++ b/foxtailworks/entry/_host.py
@@ -13,6 +13,7 @@
 from foxtailworks.entry import _flows
 from foxtailworks.entry import _gauges
 from foxtailworks.entry import _keepers
+from foxtailworks.entry import _memory
 from foxtailworks.entry import _operators
 from foxtailworks.entry import _peers
 from foxtailworks.entry import _registrations
@@ -77,6 +78,7 @@
             self._fabric,
             metrics,
         )
+        self._memory = _memory.open_folder(cfg.memory_folder, cfg.host)
         self.requests = _requests.RequestPath(
             self.cores,
             self.services,
@@ -86,6 +88,7 @@
             incarnation,
             rng,
             clock,
+            self._memory.take() if self._memory is not None else None,
         )
         self._actions = _actions.Actions(
             self.cores.views,
@@ -247,6 +250,8 @@
         own = cfg.peer_address.ip
         async with contextlib.AsyncExitStack() as stack:
             hold = stack.enter_async_context
+            if self._memory is not None:
+                stack.callback(self._memory.close)
             at = cfg.peer_address
             self._peers.port = await hold(
                 udp.open_port(at.ip, at.port, self._peers.take)
@@ -346,3 +351,5 @@
             await asyncio.sleep(DRAIN_STEP_S)
             if self.requests.keyed.is_handed_over(self._clock()):
                 break
+        if self._memory is not None:
+            self._memory.leave(self.requests.keyed.memory(self._clock()))
--- a/foxtailworks/entry/_keyed_side.py
+++ b/foxtailworks/entry/_keyed_side.py
@@ -36,6 +36,7 @@
 
     :param incarnation: of this start of the process
     :param offer: asks admission for a call
+    :param memory: what this host remembered when it last stopped as planned
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         rng: random.Random,
         clock: abc.Callable[[], float],
         offer: abc.Callable[[_replies.Call], None],
+        memory: requests.Memory | None = None,
     ) -> None:
         self._cores = cores
         self._choice = choice
@@ -59,6 +61,7 @@
         self._rng = rng
         self._clock = clock
         self._offer = offer
+        self._memory = memory
         self._started_at = clock()
         self._retention_s = MIN_RETENTION_S
         self._starting: _rosters.RosterStart | None = None
@@ -108,7 +111,9 @@
         me = self._cores.members.me.id
         groups = requests.KeyGroups(roster, self._retention_s, older)
         recovery = requests.Recovery(
-            self._started_at, self._retention_s, fresh
+            self._started_at,
+            self._retention_s,
+            fresh or self._memory is not None,
         )
         store = requests.ClaimStore(
             me, groups, recovery, incarnation=self._incarnation
@@ -116,6 +121,8 @@
         coordinator = requests.Coordinator(
             me, self._incarnation, groups, store, self._choice, self._rng
         )
+        if self._memory is not None:
+            coordinator.recall(self._memory, self._clock())
         rosters = _rosters.Rosters(groups, self._cores.views, self._peers)
         path = _keyed.KeyedPath(
             coordinator,
@@ -222,6 +229,15 @@
             handed = self._parts.coordinator.hand_over(now)
             self._parts.path.perform(handed)
 
+    def memory(self, now: float) -> requests.Memory | None:
+        """Return what the next start of this host must know, if whole.
+
+        A host that has decided nothing leaves what it was left itself.
+        """
+        if self._parts is None:
+            return self._memory
+        return self._parts.coordinator.memory(now)
+
     def is_handed_over(self, now: float) -> bool:
         """Tell whether the others have this host's claims."""
         parts = self._parts
--- a/foxtailworks/entry/_requests.py
+++ b/foxtailworks/entry/_requests.py
@@ -42,6 +42,7 @@
         incarnation: ids.Incarnation,
         rng: random.Random,
         clock: abc.Callable[[], float],
+        memory: requests.Memory | None,
     ) -> None:
         self._cores = cores
         self._services = services
@@ -98,6 +99,7 @@
             rng,
             clock,
             self.gate.offer,
+            memory,
         )
 
     # Limits and hosts.
--- a/foxtailworks/settings/_programs.py
+++ b/foxtailworks/settings/_programs.py
@@ -71,6 +71,9 @@
     """``proxy``: a PROXY v2 header stands before each datagram."""
     fabrics: _fields.Addresses = ()
     """UDP, where this host says that it lives or withdraws."""
+    memory_folder: _fields.Path | None = None
+    """Where a planned stop leaves what the next start must know of requests
+    that may not be repeated; none leaves it to the other hosts."""
     statsd: _fields.Address | None = None
     """UDP, where counters are sent."""
     tls: Tls | None = None
