--- a/foxtailworks/bench/_request_world.py
+++ b/foxtailworks/bench/_request_world.py
@@ -10,6 +10,7 @@
 
 from foxtailworks.bench import _request_ledger
 from foxtailworks.bench import _request_parts
+from foxtailworks.bench import _request_upstreams
 from foxtailworks import ids
 from foxtailworks import requests
 
@@ -19,22 +20,17 @@
 SERVICE = ids.ServiceId("check-ins")
 
 
-class World(_request_ledger.Ledger):
+class World(_request_upstreams.Upstreams):
     """Hosts, upstreams and callers under faults."""
 
     def __init__(
         self, seed: int, roster: requests.Roster, upstreams: int = 4
     ) -> None:
-        super().__init__()
-        self.rng = random.Random(seed)
-        self.loss = 0.0
-        self.doubling = 0.0
-        self.delay_s = 0.001
+        super().__init__(seed)
         self.strike: _request_parts.Strike | None = None
         self.avoids_cut = False
         self.has_disks = False
         self.broken: set[tuple[ids.HostId, ids.HostId]] = set()
-        self.cut: frozenset[ids.ZoneId] = frozenset()
         self.sent_bytes = 0
         self.sent_messages = 0
         self._codec = requests.make_codec()
@@ -46,7 +42,6 @@
             )
             for i in range(upstreams)
         }
-        self.hosts: dict[ids.HostId, _request_parts.Host] = {}
         for name, zone in roster.hosts:
             self.start_host(name, zone, True)
 
@@ -204,13 +199,6 @@
         for other in self.hosts.values():
             other.groups.adopted(self.now, host.name, epoch)
 
-    def crash_upstream(self, name: ids.UpstreamId) -> None:
-        """End an upstream; its successor is another upstream."""
-        old = self.upstreams.pop(name)
-        old.is_up = False
-        new = ids.UpstreamId(f"{name}'")
-        self.upstreams[new] = _request_parts.Upstream(new, old.zone)
-
     def perform(
         self, host: _request_parts.Host, actions: tuple[requests.Action, ...]
     ) -> None:
@@ -269,21 +257,6 @@
         if link not in self.broken:
             self._carry(host.zone, target.zone, deliver)
 
-    def _carry(
-        self,
-        source: ids.ZoneId,
-        target: ids.ZoneId,
-        deliver: _request_parts.Event,
-    ) -> None:
-        """Lose, double or delay a datagram."""
-        if not self._reaches(source, target):
-            return
-        copies = 2 if self.rng.random() < self.doubling else 1
-        for _ in range(copies):
-            if self.rng.random() >= self.loss:
-                spread = 0.5 + self.rng.random()
-                self.at(self.delay_s * spread, deliver)
-
     def _double(self, arrival: requests.Arrival) -> None:
         """Let the fabric bring a copy late, at any host."""
         if self.rng.random() < self.doubling:
@@ -293,10 +266,6 @@
                 lambda: self._arrive(host, arrival, False),
             )
 
-    def _reaches(self, source: ids.ZoneId, target: ids.ZoneId) -> bool:
-        """Return whether no cut lies between two availability zones."""
-        return (source in self.cut) == (target in self.cut)
-
     def _arrive(
         self,
         host: _request_parts.Host,
@@ -319,31 +288,6 @@
             host.zone, target.zone, lambda: self._arrive(target, arrival, True)
         )
 
-    def _event(
-        self,
-        host: _request_parts.Host,
-        event: typing.Callable[[], tuple[requests.Action, ...]],
-    ) -> None:
-        """Let a host take in an event, now or when it goes on."""
-        self._do(host, lambda: self.perform(host, event()))
-
-    def _do(
-        self, host: _request_parts.Host, step: _request_parts.Event
-    ) -> None:
-        """Do a step of a host unless it is down or frozen."""
-        if not host.is_up or self.hosts[host.name] is not host:
-            return
-        if self.now < host.frozen_until:
-            host.held.append(step)
-        else:
-            step()
-
-    def _thaw(self, host: _request_parts.Host) -> None:
-        """Go on with what was held."""
-        held, host.held = host.held, []
-        for step in held:
-            self._do(host, step)
-
     def _tick(self, host: _request_parts.Host) -> None:
         """Tick a host for as long as it lives."""
         if not host.is_up or self.hosts[host.name] is not host:
@@ -352,87 +296,3 @@
         for ran in host.coordinator.drain_ran():
             self.counted[ran.key] += 1
         self.at(TICK_S, lambda: self._tick(host))
-
-    def _to_upstream(
-        self,
-        host: _request_parts.Host,
-        action: requests.Place | requests.Cancel,
-    ) -> None:
-        """Send a datagram to an upstream that may be gone."""
-        target = self.upstreams.get(action.upstream)
-        if target is None:
-            return
-        if isinstance(action, requests.Place):
-            step = functools.partial(self._placed, host, target, action)
-        else:
-            step = functools.partial(self._cancel, host, target, action)
-        self._carry(host.zone, target.zone, step)
-
-    def _placed(
-        self,
-        host: _request_parts.Host,
-        target: _request_parts.Upstream,
-        action: requests.Place,
-    ) -> None:
-        """Run a placement unless it is fenced or shed."""
-        key, claim = action.key, action.claim
-        if not target.is_up or claim in target.started:
-            return
-        if claim in target.fenced or target.is_shedding:
-            target.fenced.add(claim)
-            self._reply(
-                host,
-                target,
-                lambda: host.coordinator.shed(self.now, key, claim),
-            )
-            return
-        target.started[claim] = self.now
-        self._ran(key)
-        self.at(
-            target.run_s,
-            lambda: self._reply(
-                host,
-                target,
-                lambda: host.coordinator.answered(
-                    self.now, key, claim, _request_parts.answer_to(key)
-                ),
-            ),
-        )
-
-    def _cancel(
-        self,
-        host: _request_parts.Host,
-        target: _request_parts.Upstream,
-        action: requests.Cancel,
-    ) -> None:
-        """Fence a placement, or say that it started."""
-        key, claim = action.key, action.claim
-        if not target.is_up:
-            return
-        started = target.started.get(claim)
-        result = requests.CancelResult.STARTED
-        answer = None
-        if started is None:
-            target.fenced.add(claim)
-            result = requests.CancelResult.NEVER_STARTED
-        elif self.now >= started + target.run_s:
-            answer = _request_parts.answer_to(key)
-        self._reply(
-            host,
-            target,
-            lambda: host.coordinator.cancel_result(
-                self.now, key, claim, result, answer
-            ),
-        )
-
-    def _reply(
-        self,
-        host: _request_parts.Host,
-        target: _request_parts.Upstream,
-        event: typing.Callable[[], tuple[requests.Action, ...]],
-    ) -> None:
-        """Carry an upstream's word back."""
-        if target.is_up:
-            self._carry(
-                target.zone, host.zone, lambda: self._event(host, event)
-            )
