A flow that was handed over is known again when its owner dies

The owner doesn't tell the heir of a slot what it has from that very heir. When the owner dies the heir owns the slot again, and placed the flow anew although it still had it, apart.

Ruled out: telling the heir its own words back (each flow of each join would be told twice).

Change: where nobody has told of a flow, what was handed over counts, while its upstream is alive; no limit refuses such a flow.

--- a/foxtailworks/placement/_knowledge.py
+++ b/foxtailworks/placement/_knowledge.py
@@ -87,6 +87,20 @@
                 return upstream
         return None
 
+    def handed_over(
+        self, service: ids.ServiceId, key: int
+    ) -> _upstreams.Upstream | None:
+        """Return where a flow stood when its owner took it from this host.
+
+        Only a death of the owner brings it back here, before it could tell
+        this host of the flow in turn.
+        """
+        flow = self._walk.handed_over(key)
+        if flow is None or not flow.upstream.alive:
+            return None
+        is_same = flow.upstream.view.service == service
+        return flow.upstream if is_same else None
+
     def who_knows(self, key: int) -> ids.HostId | None:
         """Return who told of a flow in terms that this host lacks.
 
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -286,7 +286,8 @@
         """
         if key in self._flows or route.prior is not None:
             return False
-        return self._exchange.lookup(service, key, route) is None
+        told = self._exchange.lookup(service, key, route)
+        return not (told or self._exchange.handed_over(service, key))
 
     def _choose(
         self,
@@ -297,6 +298,7 @@
     ) -> _upstreams.Upstream | None:
         """Return where a flow stands that this host doesn't know."""
         upstream = self._exchange.lookup(service, key, route)
+        upstream = upstream or self._exchange.handed_over(service, key)
         if upstream is not None:
             return upstream
         placed_by = self._exchange.base_view(route)
--- a/foxtailworks/placement/_walk.py
+++ b/foxtailworks/placement/_walk.py
@@ -41,6 +41,10 @@
         """Take in the idle time of each service's flows."""
         self._idle = dict(idle_s)
 
+    def handed_over(self, key: int) -> _flows.Flow | None:
+        """Return a flow that this host knew until its owner did."""
+        return self._past.get(key)
+
     def run(
         self,
         view_hash: int,
