A memory that is taken back loses no mark, whatever their number

Cause, found in reading: marks of refused attempts live in two generations of 30,000; a memory puts both back into one, and past its bound marks were left out without a word. A lost mark may let an attempt run that was told "not run".

Test first: 60,000 marks, 30,000 of them were left.

Change: marks of before are put back without asking the bound again; no more of them can come than two generations held.

--- a/foxtailworks/placement/__init__.py
+++ b/foxtailworks/placement/__init__.py
@@ -31,12 +31,12 @@
 from foxtailworks.placement._messages import Synced
 from foxtailworks.placement._placer import MAX_HOPS
 from foxtailworks.placement._placer import Placer
-from foxtailworks.placement._placer import PlacerCounts
 from foxtailworks.placement._types import Decision
 from foxtailworks.placement._types import Deliver
 from foxtailworks.placement._types import HostState
 from foxtailworks.placement._types import HostView
 from foxtailworks.placement._types import PlacementConfig
+from foxtailworks.placement._types import PlacerCounts
 from foxtailworks.placement._types import Refuse
 from foxtailworks.placement._types import RelayTo
 from foxtailworks.placement._types import Send
--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections import abc
-import dataclasses
 import typing
 
 from foxtailworks import errors
@@ -21,22 +20,6 @@
 """A draining upstream may get new flows for so long."""
 
 
-@dataclasses.dataclass(slots=True)
-class PlacerCounts:
-    """What happened so far, for metrics."""
-
-    placed: int = 0
-    """Flows entered into the table."""
-    replaced: int = 0
-    """Flows moved because their upstream was gone."""
-    untracked: int = 0
-    """Packets placed without an entry because the table was full."""
-    refused: int = 0
-    """Packets without an upstream."""
-    relayed: int = 0
-    """Packets passed to another host."""
-
-
 def _admit_all(service: ids.ServiceId, now: float) -> bool:
     """Refuse no flow."""
     return True
@@ -80,7 +63,7 @@
         self._leaving = False
         self._alone_until = now + _hosts.START_S
         self._admits: abc.Callable[[ids.ServiceId, float], bool] = _admit_all
-        self.counts = PlacerCounts()
+        self.counts = _types.PlacerCounts()
         """Counters."""
 
     def set_admission(
--- a/foxtailworks/placement/_types.py
+++ b/foxtailworks/placement/_types.py
@@ -102,3 +102,19 @@
     """Receiver."""
     message: typing.Any
     """One of :data:`MESSAGES`."""
+
+
+@dataclasses.dataclass(slots=True)
+class PlacerCounts:
+    """What happened so far, for metrics."""
+
+    placed: int = 0
+    """Flows entered into the table."""
+    replaced: int = 0
+    """Flows moved because their upstream was gone."""
+    untracked: int = 0
+    """Packets placed without an entry because the table was full."""
+    refused: int = 0
+    """Packets without an upstream."""
+    relayed: int = 0
+    """Packets passed to another host."""
--- a/foxtailworks/requests/_fences.py
+++ b/foxtailworks/requests/_fences.py
@@ -73,6 +73,23 @@
         self._quiet[key] = until
         return True
 
+    def restore(
+        self,
+        now: float,
+        key: ids.RequestKey,
+        attempts: tuple[_messages.AttemptId, ...],
+        quiet_s: float,
+    ) -> None:
+        """Put back what was marked before a restart.
+
+        Both generations of before come into one, so that no bound is asked
+        again: a mark that were lost might let a refused attempt run.
+        """
+        self.tick(now)
+        self._young.update(dict.fromkeys(attempts, key))
+        if quiet_s > 0:
+            self._quiet[key] = now + quiet_s
+
     def tick(self, now: float) -> None:
         """Let old marks and quiet keys go."""
         if now >= self._turned_at + MARK_LIFETIME_S:
--- a/foxtailworks/requests/_memory.py
+++ b/foxtailworks/requests/_memory.py
@@ -1,13 +1,19 @@
 """What a member leaves to its own next start when it stops as planned."""
 
+from collections import abc
 import dataclasses
+import math
 
+from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks.requests import _fences
 from foxtailworks.requests import _messages
+from foxtailworks.requests import _records
 from foxtailworks import wire
 
 MAX_MEMORY_BYTES = 64 << 20
 """A full store of 50,000 keys with outcomes of 1,200 bytes each."""
+_MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,3 +61,43 @@
     """
     found: Memory = _CODEC.decode(data)
     return found
+
+
+def quiet_keys(fences: _fences.Fences, now: float) -> abc.Iterator[Quiet]:
+    """Yield the keys that were refused of late."""
+    for key, seconds in fences.quiet_keys(now):
+        yield Quiet(key, math.ceil(seconds * _MS_PER_S))
+
+
+def recall(
+    memory: Memory,
+    records: _records.Records,
+    fences: _fences.Fences,
+    now: float,
+) -> None:
+    """Put a memory into the empty tables of a member that starts.
+
+    :raises FoxtailError: ``INTERNAL`` when it holds more than they may
+    """
+    for item in memory.records:
+        if item.marks:
+            fences.restore(now, item.key, item.marks, 0.0)
+        if item.claim is not None or item.outcome is not None:
+            _recall_record(item, records, now)
+    for quiet in memory.quiet:
+        fences.restore(now, quiet.key, (), quiet.for_ms / _MS_PER_S)
+
+
+def _recall_record(
+    item: _messages.HandOver, records: _records.Records, now: float
+) -> None:
+    """Put back the claim or the outcome of one key."""
+    record = records.open(now, item.key, item.keep_ms)
+    if record is None:
+        raise errors.FoxtailError(
+            errors.Code.INTERNAL, "a memory larger than the store"
+        )
+    if item.outcome is not None:
+        record.keep_outcome(item.outcome)
+    elif item.claim is not None:
+        record.stand(now, item.claim)
--- a/foxtailworks/requests/_store.py
+++ b/foxtailworks/requests/_store.py
@@ -3,7 +3,6 @@
 import collections
 import functools
 import itertools
-import math
 
 from foxtailworks import errors
 from foxtailworks import ids
@@ -16,7 +15,6 @@
 from foxtailworks.requests import _recovery
 
 MAX_RECORDS = 50_000
-_MS_PER_S = 1000
 _Verdict = _messages.Verdict
 
 
@@ -133,10 +131,7 @@
                 self._describe(now, key, marks.get(key, ()))
                 for key in dict.fromkeys((*self._records, *marks))
             ),
-            tuple(
-                _memory.Quiet(key, math.ceil(seconds * _MS_PER_S))
-                for key, seconds in self._fences.quiet_keys(now)
-            ),
+            tuple(_memory.quiet_keys(self._fences, now)),
         )
 
     def recall(self, memory: _memory.Memory, now: float) -> None:
@@ -151,26 +146,7 @@
                 errors.Code.INTERNAL, "another host's memory", of=memory.host
             )
         self._epoch = max(self._epoch, memory.epoch)
-        for item in memory.records:
-            self._recall_key(item, now)
-        for quiet in memory.quiet:
-            self._fences.mark(now, quiet.key, (), quiet.for_ms / _MS_PER_S)
-
-    def _recall_key(self, item: _messages.HandOver, now: float) -> None:
-        """Take back what was remembered of one key."""
-        if item.marks:
-            self._fences.mark(now, item.key, item.marks, 0)
-        if item.claim is None and item.outcome is None:
-            return
-        record = self._records.open(now, item.key, item.keep_ms)
-        if record is None:
-            raise errors.FoxtailError(
-                errors.Code.INTERNAL, "a memory larger than the store"
-            )
-        if item.outcome is not None:
-            record.keep_outcome(item.outcome)
-        elif item.claim is not None:
-            record.stand(now, item.claim)
+        _memory.recall(memory, self._records, self._fences, now)
 
     @_receive.register
     def _on_claim(
--- a/foxtailworks/requests/tests/test_failures.py
+++ b/foxtailworks/requests/tests/test_failures.py
@@ -8,6 +8,7 @@
 from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks import requests
+from foxtailworks.requests import _fences
 
 KEY = ids.RequestKey(b"k" * 16)
 Strike = _request_parts.Strike
@@ -205,6 +206,30 @@
     assert host.coordinator.memory(world.now) is None
 
 
+def test_no_mark_is_lost_though_they_come_into_one_generation():
+    # A mark that were lost might let an attempt run that was told "not run".
+    world, (first, *_) = make()
+    marks = tuple(
+        requests.HandOver(
+            ids.RequestKey(number.to_bytes(16, "big")),
+            None,
+            None,
+            0,
+            (requests.AttemptId(number),),
+        )
+        for number in range(2 * _fences.MAX_MARKS)
+    )
+    world.start_host(
+        first,
+        world.hosts[first].zone,
+        False,
+        requests.Memory(first, 1, marks, ()),
+    )
+    coordinator = world.hosts[first].coordinator
+    coordinator.hand_over(world.now)
+    assert len(coordinator.memory(world.now).records) == len(marks)
+
+
 def test_what_still_grants_has_no_memory_to_leave():
     world, (first, *_) = make()
     with pytest.raises(errors.FoxtailError):
