--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 DAY ?= quiet-1
 
 .PHONY: all test format lint types unit behave demo soak bench capacity \
+	rolling \
 	platform-day platform-soak short-soak clean
 
 all: test
@@ -49,6 +50,9 @@
 bench: .venv/.done
 	$(PY) -m foxtailworks.bench
 
+rolling: .venv/.done
+	$(PY) -m foxtailworks.bench.rolling --pause-s 0.5
+
 capacity: .venv/.done
 	$(PY) -m foxtailworks.bench.capacity
 
