--- a/foxtailworks/coordinator/_hints.py
+++ b/foxtailworks/coordinator/_hints.py
@@ -9,10 +9,9 @@
 from foxtailworks import errors
 from foxtailworks import logs
 from foxtailworks import revisions
+from foxtailworks import warmstart
 from foxtailworks import wire
 
-FILE_NAME = ".hints"
-"""Name of the file; the journal in the same folder ignores dotted names."""
 SAVE_INTERVAL_S = 1.0
 """Shortest interval between two writes."""
 SLOW_WRITE_S = 0.03
@@ -49,7 +48,7 @@
     def __init__(
         self, folder: pathlib.Path, clock: abc.Callable[[], float]
     ) -> None:
-        self._path = folder / FILE_NAME
+        self._path = folder / warmstart.FILE_NAME
         self._clock = clock
         self._saved_versions = (0, 0)
         self._next_save_at = clock() + SAVE_INTERVAL_S
@@ -57,7 +56,8 @@
     def load(self) -> SavedHints:
         """Return the saved hints; empty ones if they can't be read."""
         try:
-            saved: SavedHints = _CODEC.decode(self._path.read_bytes())
+            _, data = warmstart.split(self._path.read_bytes())
+            saved: SavedHints = _CODEC.decode(data)
         except FileNotFoundError:
             return SavedHints()
         except (OSError, errors.FoxtailError) as exc:
@@ -69,16 +69,26 @@
         self,
         registry: discovery.Registry,
         document: revisions.StoredDocument,
+        make_reply: abc.Callable[
+            [tuple[discovery.Instance, ...]], warmstart.Reply
+        ],
         now: float,
     ) -> None:
-        """Write the hints if they have changed and the interval has passed."""
+        """Write the hints if they have changed and the interval has passed.
+
+        :param make_reply: returns the answer to polls during the next start,
+            given the live instances
+        """
         versions = (registry.version, document.revision)
         if now < self._next_save_at or versions == self._saved_versions:
             return
         self._next_save_at = now + SAVE_INTERVAL_S
         instances = tuple(i.instance for i in registry.listed() if i.is_live)
         try:
-            self._write(_CODEC.encode(SavedHints(instances, document)))
+            self._write(
+                warmstart.pack(make_reply(instances))
+                + _CODEC.encode(SavedHints(instances, document))
+            )
         except OSError as exc:
             _EVENTS.warning("hints_unwritten", reason=exc.strerror)
             self._next_save_at = now + PAUSE_S
@@ -89,7 +99,7 @@
 
     def _write(self, data: bytes) -> None:
         """Replace the file atomically."""
-        temporary = self._path.with_name(FILE_NAME + ".new")
+        temporary = self._path.with_name(warmstart.FILE_NAME + ".new")
         with open(temporary, "wb") as file:
             file.write(data)
             file.flush()
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -16,6 +16,7 @@
 from foxtailworks.coordinator import _messages
 from foxtailworks.coordinator import _peers
 from foxtailworks.coordinator import _settings
+from foxtailworks.coordinator import _start_reply
 from foxtailworks.coordinator import _suspicions
 from foxtailworks import datagram
 from foxtailworks import discovery
@@ -28,6 +29,8 @@
 from foxtailworks import revisions
 from foxtailworks import service
 from foxtailworks import steering
+from foxtailworks import udp
+from foxtailworks import warmstart
 
 TICK_S = 0.05
 """Interval between ticks: half the heartbeat interval of the consensus."""
@@ -305,7 +308,22 @@
         if self.node is not None:
             self._group.on_tick(self.node, now)
         self.process_events()
-        self._hints.save_if_due(self.registry, self._committed_document(), now)
+        self._hints.save_if_due(
+            self.registry,
+            self._committed_document(),
+            self._make_start_reply,
+            now,
+        )
+
+    def _make_start_reply(
+        self, live: tuple[discovery.Instance, ...]
+    ) -> warmstart.Reply:
+        """Return the answer to polls that the next start begins with."""
+        revision, table = self._committed_routes()
+        addresses = self._peers.recent_addresses(self._clock())
+        return _start_reply.make_reply(
+            live, revision, table, addresses, self._rng
+        )
 
     def _announce_presence(self, now: float) -> None:
         """Send a presence message to all others if one is due."""
@@ -387,16 +405,24 @@
     clock: abc.Callable[[], float],
     rng: random.Random,
     stop: asyncio.Event,
+    early: warmstart.Responder | None = None,
 ) -> abc.AsyncIterator[Coordinator]:
     """Run a coordinator until the end of the ``async with`` block.
 
     :param stop: event that is set when a fault has ended the coordinator
+    :param early: answered polls at the listen address until now
     """
     program = Coordinator(cfg, read_table, clock, rng)
     async with datagram.open_endpoint(
-        cfg.listen_address, _messages.CODEC, program.receive, clock
+        cfg.listen_address,
+        _messages.CODEC,
+        program.receive,
+        clock,
+        early.socket if early else None,
     ) as endpoint:
         program.attach(endpoint)
+        for data, peer in early.take_unanswered() if early else ():
+            endpoint.receive(data, udp.address_of(*peer))
         async with service.run_periodically(
             program.on_tick, TICK_S, clock, stop
         ):
--- a/foxtailworks/datagram/__init__.py
+++ b/foxtailworks/datagram/__init__.py
@@ -15,6 +15,7 @@
 from foxtailworks.datagram._endpoint import open_endpoint
 from foxtailworks.datagram._fragments import Assembler
 from foxtailworks.datagram._fragments import FRAGMENT_BYTES
+from foxtailworks.datagram._fragments import signature
 from foxtailworks.datagram._fragments import split
 
 __all__ = [
@@ -22,5 +23,6 @@
     "Assembler",
     "Endpoint",
     "open_endpoint",
+    "signature",
     "split",
 ]
--- a/foxtailworks/datagram/_endpoint.py
+++ b/foxtailworks/datagram/_endpoint.py
@@ -3,6 +3,7 @@
 from collections import abc
 import contextlib
 import itertools
+import socket as sockets
 import typing
 
 from foxtailworks.datagram import _fragments
@@ -58,7 +59,13 @@
             self._socket.send(datagram, target)
 
     def receive(self, datagram: bytes, src: ids.Address) -> None:
-        """Process one datagram; count and drop one that cannot be decoded."""
+        """Process one datagram; count and drop one that cannot be decoded.
+
+        Those that arrive before :meth:`attach` are dropped, since they
+        couldn't be answered; their senders repeat them.
+        """
+        if self._socket is None:
+            return
         try:
             data = self._assembler.add(src, datagram, self._clock())
             msg = None if data is None else self._codec.decode(data)
@@ -76,11 +83,15 @@
     codec: wire.Codec,
     on_message: MessageHandler,
     clock: abc.Callable[[], float],
+    bound: sockets.socket | None = None,
 ) -> abc.AsyncIterator[Endpoint]:
-    """Bind an endpoint and close it when the block ends."""
+    """Bind an endpoint and close it when the block ends.
+
+    :param bound: socket that was bound to ``address`` before
+    """
     endpoint = Endpoint(codec, on_message, clock)
     async with udp.open_socket(
-        address.ip, address.port, endpoint.receive
+        address.ip, address.port, endpoint.receive, bound
     ) as socket:
         endpoint.attach(socket)
         yield endpoint
--- a/foxtailworks/datagram/_fragments.py
+++ b/foxtailworks/datagram/_fragments.py
@@ -48,6 +48,18 @@
         yield header + data[start : start + FRAGMENT_BYTES]
 
 
+def signature(data: bytes, size: int) -> tuple[int, bytes]:
+    """Return by which bytes datagrams of alike messages are recognized.
+
+    :param data: one message, which fits into a datagram
+    :param size: number of its first bytes that the others have as well
+    :returns: position in the datagram and the bytes there
+    """
+    (first,) = split(0, data)
+    start = struct.calcsize("!I")
+    return start, first[start : _HEADER.size + size]
+
+
 @dataclasses.dataclass(slots=True)
 class _Incomplete:
     """An incomplete message and the fragments received so far."""
--- a/foxtailworks/httpd/__init__.py
+++ b/foxtailworks/httpd/__init__.py
@@ -12,8 +12,9 @@
 """
 
 from foxtailworks.httpd._server import Limits
+from foxtailworks.httpd._server import page
 from foxtailworks.httpd._server import Request
 from foxtailworks.httpd._server import Response
 from foxtailworks.httpd._server import serve
 
-__all__ = ["Limits", "Request", "Response", "serve"]
+__all__ = ["Limits", "Request", "Response", "page", "serve"]
--- a/foxtailworks/httpd/_server.py
+++ b/foxtailworks/httpd/_server.py
@@ -64,6 +64,16 @@
 
 Handler: typing.TypeAlias = abc.Callable[[Request], abc.Awaitable[Response]]
 
+
+def page(path: str, respond: abc.Callable[[], Response]) -> Handler:
+    """Return a handler for one path; other paths are not found."""
+
+    async def handle(req: Request) -> Response:
+        return respond() if req.path == path else Response(404)
+
+    return handle
+
+
 _TOO_LARGE = Response(413, b'{"error":"the body is too large"}')
 _MALFORMED = Response(400, b'{"error":"not an HTTP/1.1 request"}')
 _FAULT = Response(500, b'{"error":"a fault of the program"}')
--- a/foxtailworks/udp/_socket.py
+++ b/foxtailworks/udp/_socket.py
@@ -8,11 +8,11 @@
 import typing
 
 from foxtailworks import ids
+from foxtailworks import warmstart
 
 # Called with each received datagram and the address of its sender.
 DatagramHandler: typing.TypeAlias = abc.Callable[[bytes, ids.Address], None]
 
-BUFFER_BYTES = 4 << 20
 _CACHED_ADDRESSES = 1 << 16
 
 
@@ -38,7 +38,9 @@
         """Store the transport and enlarge the socket's receive buffer."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
         sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, warmstart.BUFFER_BYTES
+        )
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass a datagram and its sender to the callback."""
@@ -67,17 +69,23 @@
 
 @contextlib.asynccontextmanager
 async def open_socket(
-    ip: str, port: int, on_datagram: DatagramHandler
+    ip: str,
+    port: int,
+    on_datagram: DatagramHandler,
+    bound: socket.socket | None = None,
 ) -> abc.AsyncIterator[Socket]:
     """Bind a socket and close it when the block ends.
 
     :param port: 0 lets the kernel choose a free port
+    :param bound: socket that was bound to this address before
     """
     loop = asyncio.get_running_loop()
-    _, bound = await loop.create_datagram_endpoint(
-        lambda: Socket(on_datagram), local_addr=(ip, port)
+    _, opened = await loop.create_datagram_endpoint(
+        lambda: Socket(on_datagram),
+        local_addr=None if bound else (ip, port),
+        sock=bound,
     )
     try:
-        yield bound
+        yield opened
     finally:
-        bound.close()
+        opened.close()
