--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -87,6 +87,7 @@
         self.registry = discovery.Registry(self._session, cfg.lease_s)
         self._peers = _peers.Peers(cfg.listen_address, cfg.seeds, now)
         self._suspicions = _suspicions.SuspicionTracker()
+        self._followers = polling.Followers()
         self._endpoint: datagram.Endpoint | None = None
         self._compiled_routes = (0, b"")
         self._last_tick = now
@@ -253,6 +254,7 @@
         """Record a host's suspicions and answer its poll."""
         now = self._clock()
         self._suspicions.update(msg.host, msg.suspected, now)
+        self._followers.on_poll(src, msg.is_follower, now)
         revision, table = self._committed_routes()
         answer = polling.PollAnswer(
             self.registry.changes(msg.session, msg.registry_version),
@@ -260,9 +262,26 @@
             table if msg.revision < revision else b"",
             self._peers.recent_addresses(now),
             self._suspicions.suspected(now),
+            self._is_current(),
         )
         self._send(answer, src)
 
+    def _is_current(self) -> bool:
+        """Return whether this coordinator knows a leader.
+
+        One that is partitioned from the majority loses it with its lease.
+        """
+        return self.node is not None and self.node.replica.leader is not None
+
+    def _notify_followers(self, now: float) -> None:
+        """Notify the following hosts of changes."""
+        version = self.registry.version
+        revision = self._committed_document().revision
+        addresses = self._followers.to_notify((version, revision), now)
+        msg = polling.Notice(self._session, version, revision)
+        for address in addresses:
+            self._send(msg, address)
+
     def _committed_document(self) -> revisions.StoredDocument:
         """Return the newest document that is known to be committed.
 
@@ -308,6 +327,7 @@
         if self.node is not None:
             self._group.on_tick(self.node, now)
         self.process_events()
+        self._notify_followers(now)
         self._hints.save_if_due(
             self.registry,
             self._committed_document(),
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -17,6 +17,9 @@
 MAX_INSTANCES = 16_384
 """Maximum number of instances; further ones are rejected and announce
 themselves again."""
+REPEATED_RELAYS = 2
+"""Further relays of a change, since a relay is a datagram that may be lost
+and edge hosts follow only some of the coordinators."""
 _MS_PER_S = 1000
 
 
@@ -69,6 +72,7 @@
         self._version = 0
         self._unlogged: list[ListedInstance] = []
         self._unshared: dict[_table.Key, tuple[_instance.Instance, float]] = {}
+        self._relays_left: dict[_table.Key, int] = {}
 
     @property
     def session(self) -> int:
@@ -102,10 +106,13 @@
         is_known = self._table.get(instance.key) is not None
         if not is_known and len(self._table) >= MAX_INSTANCES:
             return False
+        before = self._version
         self._apply(instance, now, now)
         row = self._table.get(instance.key)
         if row is not None:
             self._unshared[instance.key] = (row.instance, now)
+            if self._version != before:
+                self._relays_left[instance.key] = REPEATED_RELAYS
         return True
 
     def withdraw(self, name: _instance.InstanceId, now: float) -> None:
@@ -130,12 +137,22 @@
 
     def take_unshared(self, now: float) -> tuple[RelayedHeartbeat, ...]:
         """Return the heartbeats to relay to the other coordinators."""
-        unshared, self._unshared = self._unshared, {}
+        unshared = self._unshared
+        self._unshared = {
+            key: item for key, item in unshared.items() if self._repeats(key)
+        }
         return tuple(
             RelayedHeartbeat(instance, max(0, round((now - at) * _MS_PER_S)))
             for instance, at in unshared.values()
         )
 
+    def _repeats(self, key: _table.Key) -> bool:
+        """Return whether an instance is relayed again, and count it."""
+        left = self._relays_left.pop(key, 0)
+        if left > 1:
+            self._relays_left[key] = left - 1
+        return left > 0
+
     def all_heartbeats(self, now: float) -> tuple[RelayedHeartbeat, ...]:
         """Return all instances, for a coordinator that has just started."""
         return tuple(
--- a/foxtailworks/discovery/_roster.py
+++ b/foxtailworks/discovery/_roster.py
@@ -8,9 +8,9 @@
 from foxtailworks.discovery import _table
 from foxtailworks import ids
 
-ANSWER_VALID_S = 1.5
-"""Time for which a coordinator counts as responsive after an answer: six
-polls. Upstreams switch to another coordinator after a second."""
+ANSWER_VALID_S = 2.5
+"""Time for which a coordinator counts as responsive after an answer, longer
+than the interval between two polls of any coordinator."""
 LISTING_VALID_S = 4.0
 """Time for which an instance stays usable after a coordinator last listed it
 as live: after a restart of all coordinators each instance has announced
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -1,4 +1,4 @@
-"""Edge host that polls all coordinators and routes packets."""
+"""Edge host that follows coordinators and routes packets."""
 
 import asyncio
 from collections import abc
@@ -19,25 +19,10 @@
 
 TICK_S = 0.02
 """Half the minimum timeout after which an unanswered SYN is placed again."""
-POLL_S = 0.25
-"""Interval between two polls of a coordinator: a change arrives within the
-sum of this and the agreement's heartbeat, far below the seconds allowed."""
-FIRST_POLL_S = 0.06
-"""Interval between polls while this host has no routes and can't serve
-callers."""
 STARTING_S = 1.0
 """Time after its start for which a host is ready without routes: routers
 check twice a second, routes arrive within a tenth of a second, and SYNs
 received before them are held."""
-REGAINED_S = 1.0
-"""Time without an answer, four polls, after which a coordinator counts as
-lost."""
-DROP_AFTER_S = 60.0
-"""Time without an answer after which a coordinator that isn't a seed is no
-longer polled."""
-MAX_COORDINATORS = 64
-"""Maximum number of coordinators polled."""
-
 _EVENTS = logs.Events("edge")
 
 
@@ -84,9 +69,9 @@
         self.steering = steering.Steering(self.roster, cfg.zone, rng)
         self._tables = steering.TableCodec()
         self._started_at = clock()
-        self._seeds = frozenset(cfg.seeds)
-        self._last_answer_at = dict.fromkeys(cfg.seeds, self._started_at)
-        self._poll_slots: dict[ids.Address, int] = {}
+        self._schedule = polling.Schedule(
+            cfg.host, cfg.seeds, rng, self._started_at
+        )
         self._endpoint: datagram.Endpoint | None = None
         self._carry_out = carry_out
         self._audit = _audit.Audit(describe)
@@ -123,63 +108,76 @@
 
     def put_seeds(self, seeds: tuple[ids.Address, ...]) -> None:
         """Replace the seeds after a change of the settings."""
-        self._seeds = frozenset(seeds)
-        for address in seeds:
-            self._last_answer_at.setdefault(address, self._clock())
+        self._schedule.put_seeds(seeds, self._clock())
 
     def receive(self, msg: object, src: ids.Address) -> None:
-        """Process a coordinator's answer to a poll."""
+        """Process a coordinator's answer to a poll, or its notice."""
+        if isinstance(msg, polling.Notice):
+            self._on_notice(msg, src)
+            return
         if not isinstance(msg, polling.PollAnswer):
             _EVENTS.warning("message_unexpected", kind=type(msg).__name__)
             return
         now = self._clock()
-        self._record_answer(src, now)
+        self._record_answer(msg, src, now)
         if not self.roster.merge(src, msg.changes, now):
             _EVENTS.debug("changes_missed", coordinator=src)
+            self._schedule.request_poll(src)
         self.steering.suspicions.put_suspected(msg.suspected, now)
-        self._add_coordinators(msg.coordinators, now)
+        self._schedule.add(msg.coordinators, now)
         if msg.table and msg.revision > self.steering.revision:
             self._put_routes(msg, src)
 
+    def _on_notice(self, msg: polling.Notice, src: ids.Address) -> None:
+        """Poll a coordinator that has something new."""
+        has_changes = self.roster.position(src) != (
+            msg.session,
+            msg.registry_version,
+        )
+        if has_changes or msg.revision > self.steering.revision:
+            self._schedule.request_poll(src)
+
     def on_tick(self, now: float) -> None:
         """Run the periodic work of the host."""
         for due in self.steering.on_tick(now):
             self._carry_out(due)
         self._audit.record(self.steering.events.take(), now)
         self.roster.on_tick(now)
-        self._drop_unresponsive(now)
         self._poll_if_due(now)
 
     def _poll_if_due(self, now: float) -> None:
-        """Poll the coordinators that are due, or all after a new suspicion.
-
-        The polls of different coordinators are spread over the interval, so
-        that what another host reports arrives from one of them well before
-        all were polled.
-        """
-        lacks_routes = not self.steering.revision
-        interval_s = FIRST_POLL_S if lacks_routes else POLL_S
-        has_updates = self.steering.suspicions.has_updates
-        self.steering.suspicions.has_updates = False
-        count = max(1, len(self._last_answer_at))
-        for index, address in enumerate(self._last_answer_at):
-            slot = int(now / interval_s + index / count)
-            if has_updates or slot != self._poll_slots.get(address):
-                self._poll_slots[address] = slot
-                self._poll(address, now)
-
-    def _poll(self, address: ids.Address, now: float) -> None:
+        """Poll the coordinators that are due, or all after a new suspicion."""
+        suspicions = self.steering.suspicions
+        if suspicions.has_updates:
+            suspicions.has_updates = False
+            self._schedule.request_all()
+        if self.steering.has_unknown_tokens:
+            self.steering.has_unknown_tokens = False
+            self._schedule.request_polls(now)
+        for due in self._schedule.due(now, self._need(now)):
+            self._poll(due, now)
+
+    def _need(self, now: float) -> polling.Need:
+        """Return what this host needs from coordinators now."""
+        if not self.steering.revision:
+            return polling.Need.ROUTES
+        if self.steering.suspicions.local_suspects(now):
+            return polling.Need.OPINION
+        return polling.Need.CHANGES
+
+    def _poll(self, due: polling.DuePoll, now: float) -> None:
         """Poll one coordinator for changes since the last answer."""
         assert self._endpoint is not None
-        session, version = self.roster.position(address)
+        session, version = self.roster.position(due.address)
         msg = polling.Poll(
             self._cfg.host,
             session,
             version,
             self.steering.revision,
             self.steering.reportable_suspects(now),
+            due.is_follower,
         )
-        self._endpoint.send(msg, address)
+        self._endpoint.send(msg, due.address)
 
     def _put_routes(self, msg: polling.PollAnswer, src: ids.Address) -> None:
         """Decode routes and put them in force."""
@@ -196,31 +194,17 @@
                 coordinator=src,
             )
 
-    def _record_answer(self, src: ids.Address, now: float) -> None:
-        """Record the time of an answer; clear suspicions after a partition.
+    def _record_answer(
+        self, msg: polling.PollAnswer, src: ids.Address, now: float
+    ) -> None:
+        """Record an answer; clear suspicions after a partition.
 
         The first answer of a coordinator that was lost shows that a partition
         has healed, so suspected upstreams may answer again.
         """
-        if now - self._last_answer_at.get(src, now) > REGAINED_S:
+        if self._schedule.on_answer(src, msg.is_current, now):
             self.steering.suspicions.clear()
             _EVENTS.info("coordinator_regained", coordinator=src)
-        self._last_answer_at[src] = now
-
-    def _add_coordinators(
-        self, addresses: abc.Iterable[ids.Address], now: float
-    ) -> None:
-        """Add coordinators that another one lists to those polled."""
-        for address in addresses:
-            if len(self._last_answer_at) < MAX_COORDINATORS:
-                self._last_answer_at.setdefault(address, now)
-
-    def _drop_unresponsive(self, now: float) -> None:
-        """Stop polling coordinators that are unresponsive, except seeds."""
-        for address, answered_at in list(self._last_answer_at.items()):
-            if address not in self._seeds and now - answered_at > DROP_AFTER_S:
-                del self._last_answer_at[address]
-                self._poll_slots.pop(address, None)
 
 
 @contextlib.asynccontextmanager
--- a/foxtailworks/polling/_messages.py
+++ b/foxtailworks/polling/_messages.py
@@ -1,4 +1,4 @@
-"""Polls of edge hosts and the answers of coordinators."""
+"""Polls of edge hosts, and the answers and notices of coordinators."""
 
 import dataclasses
 
@@ -21,6 +21,8 @@
     """Revision of the routes in force on the host."""
     suspected: tuple[tuple[discovery.InstanceId, ids.Incarnation], ...] = ()
     """Instances that the host suspects."""
+    is_follower: bool = False
+    """Whether the host wants notices of changes until its next poll."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,8 +39,22 @@
     """Addresses of all coordinators known to this one."""
     suspected: tuple[tuple[discovery.InstanceId, ids.Incarnation], ...] = ()
     """Instances that several hosts suspect."""
+    is_current: bool = True
+    """Whether this coordinator knows a leader, so that it isn't behind."""
 
 
-MESSAGES: dict[int, type] = {4: Poll, 5: PollAnswer}
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """Tells a following host that a coordinator has changes for it."""
+
+    session: int
+    """Session of the registry."""
+    registry_version: int
+    """Latest version of the registry."""
+    revision: int
+    """Latest committed revision of the routes."""
+
+
+MESSAGES: dict[int, type] = {4: Poll, 5: PollAnswer, 6: Notice}
 
 CODEC = wire.Codec(MESSAGES, limit=4 << 20)
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -71,6 +71,8 @@
         self._chooser = _choice.Chooser(self._flows.open_count, rng, self._cfg)
         self._routes: dict[ids.Address, _routes.Route] = {}
         self.revision = 0
+        self.has_unknown_tokens = False
+        """Whether a packet had an unknown token since this was last reset."""
         self.events = _events.Events()
         """Events for logs and counters."""
 
@@ -152,6 +154,7 @@
             return _decisions.Reset(_Reason.NO_ROUTE)
         known = self._tokens.find(packet.token)
         if known is None:
+            self.has_unknown_tokens = True
             return _decisions.Drop(_Reason.UNKNOWN_TOKEN)
         if known.instance.state is discovery.InstanceState.GONE:
             return self._decide_gone(known, now)
