--- a/foxtailworks/steering/_choice.py
+++ b/foxtailworks/steering/_choice.py
@@ -9,8 +9,8 @@
 from foxtailworks.steering import _flows
 
 
-_Rated = tuple[float, discovery.KnownInstance, bool]
-# Load in flows per slot, candidate, and whether it is deprioritized.
+_Rated = tuple[float, float, discovery.KnownInstance]
+# Load in flows per slot with the penalty, the penalty alone, candidate.
 
 
 def _load_of(rated: _Rated) -> float:
@@ -37,35 +37,27 @@
     def choose(
         self,
         candidates: typing.Sequence[discovery.KnownInstance],
-        is_deprioritized: abc.Callable[[discovery.KnownInstance], bool],
+        penalty: abc.Callable[[discovery.KnownInstance], float],
     ) -> discovery.KnownInstance | None:
         """Return the least loaded candidate; None when there is none.
 
-        :param is_deprioritized: whether a candidate is chosen only while
-            the others are much more loaded
+        :param penalty: returns the evidence against a candidate; by so many
+            flows per slot the others must be more loaded
         """
-        rated = [
-            self._rate(item, is_deprioritized(item)) for item in candidates
-        ]
+        rated = [self._rate(item, penalty(item)) for item in candidates]
         if not rated:
             return None
-        lowest, _, lowest_is_deprioritized = min(rated, key=_load_of)
+        lowest, its_penalty, _ = min(rated, key=_load_of)
         best = [
             item
-            for load, item, deprioritized in rated
-            if load <= lowest + self._cfg.equal_load
-            and deprioritized <= lowest_is_deprioritized
+            for load, added, item in rated
+            if load <= lowest + self._cfg.equal_load and added <= its_penalty
         ]
         return self._rng.choice(best)
 
-    def _rate(
-        self, item: discovery.KnownInstance, deprioritized: bool
-    ) -> _Rated:
+    def _rate(self, item: discovery.KnownInstance, penalty: float) -> _Rated:
         """Return a candidate with its load."""
-        load = self._load_per_slot(item.instance)
-        if deprioritized:
-            load += self._cfg.deprioritized_load
-        return load, item, deprioritized
+        return self._load_per_slot(item.instance) + penalty, penalty, item
 
     def _load_per_slot(self, instance: discovery.Instance) -> float:
         """Return the load per slot, more for a cold upstream."""
--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -38,8 +38,9 @@
     """Longest back-off; a healed partition is noticed within it."""
     deprioritized_load: float = 0.7
     """Load, in flows per slot, added to a suspected or (on a retry) remote
-    upstream. Others are preferred until their load is higher by so much that
-    an unanswered attempt costs less than their queue."""
+    upstream, for each level of suspicion. Others are preferred until their
+    load is higher by so much that an unanswered attempt costs less than
+    their queue."""
     closed_flow_kept_s: float = 2.0
     """Time for which a closed flow is kept, so that its last packets don't
     count as an open flow."""
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -229,11 +229,7 @@
             candidates = self._usable_upstreams(route, now)
         is_retry = flow is not None
         chosen = self._chooser.choose(
-            candidates,
-            lambda item: (
-                self.suspicions.is_suspected(item.instance.key, now)
-                or (is_retry and item.instance.zone != self._zone)
-            ),
+            candidates, lambda item: self._penalty(item, is_retry, now)
         )
         if chosen is None:
             return _decisions.Reset(_Reason.NO_UPSTREAM)
@@ -254,6 +250,14 @@
         self._pending.on_placed(syn, key, now)
         return _decisions.Forward(chosen.instance, _tokens.token_of(*key))
 
+    def _penalty(
+        self, item: discovery.KnownInstance, is_retry: bool, now: float
+    ) -> float:
+        """Return the load by which an upstream is deprioritized."""
+        level = self.suspicions.level(item.instance.key, now)
+        is_remote = is_retry and item.instance.zone != self._zone
+        return self._cfg.deprioritized_load * max(level, is_remote)
+
     def _decide_gone(
         self, known: discovery.KnownInstance, now: float
     ) -> _decisions.Decision:
--- a/foxtailworks/steering/_suspicion.py
+++ b/foxtailworks/steering/_suspicion.py
@@ -38,6 +38,18 @@
         suspicion = self._local.get(upstream)
         return suspicion is not None and now < suspicion.suspected_until
 
+    def level(self, upstream: _flows.InstanceKey, now: float) -> float:
+        """Return the evidence against an upstream.
+
+        0 without a suspicion, 1 after one unanswered SYN or when other hosts
+        suspect it, and twice as much after each further one without an
+        answer in between.
+        """
+        suspicion = self._local.get(upstream)
+        if suspicion is not None and now < suspicion.suspected_until:
+            return suspicion.back_off_s / self._cfg.back_off_s
+        return float(self.is_suspected(upstream, now))
+
     def local_suspects(self, now: float) -> tuple[_flows.InstanceKey, ...]:
         """Return the upstreams that this host itself suspects."""
         return tuple(
