--- a/foxtailworks/ctl/_app.py
+++ b/foxtailworks/ctl/_app.py
@@ -7,6 +7,7 @@
 
 import foxtailworks
 from foxtailworks.ctl import _contract
+from foxtailworks.ctl import _day
 from foxtailworks.ctl import _explain
 from foxtailworks.ctl import _host
 from foxtailworks.ctl import _keeper
@@ -26,6 +27,7 @@
 app.command("histogram")(_host.histogram)
 app.command("drain")(_host.drain)
 app.command("explain")(_explain.explain)
+app.command("day")(_day.day)
 
 
 def _print_version(wanted: bool) -> None:
--- a/foxtailworks/ctl/_exits.py
+++ b/foxtailworks/ctl/_exits.py
@@ -37,6 +37,7 @@
     errors.Code.OK: Exit.DONE,
     errors.Code.SETTINGS_INVALID: Exit.INVALID,
     errors.Code.SETTINGS_UNREADABLE: Exit.INVALID,
+    errors.Code.REPORT_INVALID: Exit.INVALID,
     errors.Code.CONTRACT_INVALID: Exit.INVALID,
     errors.Code.EDIT_ID_REUSED: Exit.INVALID,
     errors.Code.VERSION_CONFLICT: Exit.CONFLICT,
--- a/foxtailworks/errors/_codes.py
+++ b/foxtailworks/errors/_codes.py
@@ -20,6 +20,7 @@
     # 1000: settings
     SETTINGS_INVALID = 1001, "A settings file has a wrong or unknown field."
     SETTINGS_UNREADABLE = 1002, "A settings file can't be read or parsed."
+    REPORT_INVALID = 1003, "A day's report or log can't be used."
     # 2000: wire and links
     MESSAGE_MALFORMED = 2001, "A message is truncated, unknown or ill-typed."
     MESSAGE_TOO_LARGE = 2002, "A message is larger than its limit."
