--- a/foxtailworks/steering/_choice.py
+++ b/foxtailworks/steering/_choice.py
@@ -5,6 +5,7 @@
 import typing
 
 from foxtailworks import discovery
+from foxtailworks import ids
 from foxtailworks.steering import _config
 from foxtailworks.steering import _flows
 
@@ -22,15 +23,18 @@
     """Chooses among the least loaded upstreams at random.
 
     :param load: returns the load of this host's flows on an upstream
+    :param zone: availability zone that is preferred among equals
     """
 
     def __init__(
         self,
         load: abc.Callable[[_flows.InstanceKey], float],
+        zone: ids.ZoneId,
         rng: random.Random,
         config: _config.Config,
     ) -> None:
         self._load = load
+        self._zone = zone
         self._rng = rng
         self._cfg = config
 
@@ -53,7 +57,8 @@
             for load, added, item in rated
             if load <= lowest + self._cfg.equal_load and added <= its_penalty
         ]
-        return self._rng.choice(best)
+        near = [item for item in best if item.instance.zone == self._zone]
+        return self._rng.choice(near or best)
 
     def _rate(self, item: discovery.KnownInstance, penalty: float) -> _Rated:
         """Return a candidate with its load."""
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -70,7 +70,7 @@
         self.suspicions = _suspicion.SuspicionTracker(self._cfg)
         """Suspected upstreams, exchanged with other hosts."""
         self._pending = _pending.PendingSyns(self._cfg)
-        self._chooser = _choice.Chooser(self._flows.load, rng, self._cfg)
+        self._chooser = _choice.Chooser(self._flows.load, zone, rng, self._cfg)
         self._routes: dict[ids.Address, _routes.Route] = {}
         self.revision = 0
         self.has_unknown_tokens = False
--- a/foxtailworks/steering/tests/test_long_flows.py
+++ b/foxtailworks/steering/tests/test_long_flows.py
@@ -184,3 +184,35 @@
         flow = steering.FlowKey(number.to_bytes(12, "big"))
         found = host.open(steering.Syn(flow, DESTINATION, 0, b"syn"), 0.2)
         assert found.instance.key != busy.instance.key
+
+
+def test_the_own_zone_is_preferred_among_equal_upstreams_only():
+    # A flow that stays open breaks at the next partition of the zones, so
+    # few should cross them; a queue costs more.
+    roster = discovery.Roster()
+    registry = discovery.Registry(1, 60.0)
+    for number, zone in enumerate("aabbcc"):
+        item = making.instance(
+            f"i-{number}",
+            address=ids.Address(f"10.0.1.{number}", 80),
+            zone=ids.ZoneId(zone),
+        )
+        registry.announce(item, 0.0)
+    roster.merge(PEER, registry.changes(0, 0), 0.0)
+    host = steering.Steering(roster, ids.ZoneId("a"), random.Random(1))
+    route = steering.Route(
+        DESTINATION,
+        (steering.Share(ids.ServiceId("desk"), 1),),
+        steering.RequestKind.IDEMPOTENT,
+        2_500,
+        250,
+        1,
+    )
+    host.put_routes(steering.RouteTable(1, (route,), 15_000))
+    zones = []
+    for number in range(6):
+        flow = steering.FlowKey(number.to_bytes(12, "big"))
+        placed = host.open(steering.Syn(flow, DESTINATION, 0, b"syn"), 0.0)
+        zones.append(placed.instance.zone)
+    assert zones[:2] == ["a", "a"]
+    assert sorted(zones) == list("aabbcc")
