--- a/foxtailworks/steering/_flows.py
+++ b/foxtailworks/steering/_flows.py
@@ -83,8 +83,11 @@
         For days on which flows stay open between requests: a flow with a
         request under way occupies a slot, an idle one only may soon.
         """
-        busy = self._busy[upstream]
-        return busy + self._cfg.idle_flow_load * (self._open[upstream] - busy)
+        open_count = self._open.get(upstream, 0)
+        if not open_count:
+            return 0.0
+        busy = self._busy.get(upstream, 0)
+        return busy + self._cfg.idle_flow_load * (open_count - busy)
 
     def on_placed(
         self, key: FlowKey, upstream: InstanceKey, now: float
--- a/foxtailworks/steering/_suspicion.py
+++ b/foxtailworks/steering/_suspicion.py
@@ -45,6 +45,8 @@
         suspect it, and twice as much after each further one without an
         answer in between.
         """
+        if not self._local and not self._reported:
+            return 0.0
         suspicion = self._local.get(upstream)
         if suspicion is not None and now < suspicion.suspected_until:
             return suspicion.back_off_s / self._cfg.back_off_s
--- a/foxtailworks/steering/_tokens.py
+++ b/foxtailworks/steering/_tokens.py
@@ -32,6 +32,7 @@
         self._roster = roster
         self._version = -1
         self._by_token: dict[Token, list[discovery.KnownInstance]] = {}
+        self._unique: set[tuple[discovery.InstanceId, ids.Incarnation]] = set()
 
     def find(self, token: Token) -> discovery.KnownInstance | None:
         """Return the only instance with a token; it may have gone."""
@@ -40,7 +41,8 @@
 
     def is_unique(self, known: discovery.KnownInstance) -> bool:
         """Return whether no other instance has the same token."""
-        return self.find(token_of(*known.instance.key)) is known
+        self._current_index()
+        return known.instance.key in self._unique
 
     def _current_index(self) -> dict[Token, list[discovery.KnownInstance]]:
         """Return the index, rebuilt when the roster has changed."""
@@ -50,4 +52,9 @@
             for known in self._roster.all():
                 token = token_of(*known.instance.key)
                 self._by_token.setdefault(token, []).append(known)
+            self._unique = {
+                found[0].instance.key
+                for found in self._by_token.values()
+                if len(found) == 1
+            }
         return self._by_token
