--- a/foxtailworks/losses/_causes.py
+++ b/foxtailworks/losses/_causes.py
@@ -32,6 +32,8 @@
     """Upstreams were replaced, added or removed; routes changed."""
     NONE = "no disruption"
     """Nothing was disturbed: queues and chance."""
+    UNRECORDED = "not on record"
+    """The report of a recorded day has no disruptions; logs tell more."""
 
 
 _CAUSE_OF_PREFIX = {
@@ -86,6 +88,7 @@
     day: _report.Day, seen: _logs.Sightings = _logs.NO_LOGS
 ) -> abc.Iterator[Row]:
     """Yield a row for each window of a day."""
+    otherwise = Cause.NONE if day.disruptions else Cause.UNRECORDED
     for index, tally in enumerate(day.windows):
         start_s = float(tally.name)
         active = [
@@ -94,7 +97,7 @@
             if item.start_s < start_s + day.window_s
             and start_s < item.end_s + AFTERMATH_S
         ]
-        causes = {cause_of(item) for item in active} | {Cause.NONE}
+        causes = {cause_of(item) for item in active} | {otherwise}
         yield Row(
             start_s,
             tally,
--- a/foxtailworks/losses/_report.py
+++ b/foxtailworks/losses/_report.py
@@ -71,16 +71,16 @@
     """Requests by kind."""
     disruptions: tuple[Disruption, ...] = msgspec.field(name="events")
     """Disruptions and planned work in order of time."""
-    connectivity: Connectivity = msgspec.field(
-        name="touch", default=Connectivity()
+    connectivity: Connectivity | None = msgspec.field(
+        name="touch", default=None
     )
-    """Hosts of the day."""
+    """Hosts of the day; None on a recorded day."""
 
     @property
     def hosts(self) -> frozenset[str]:
         """Names of the hosts that the report mentions."""
-        found = {*self.connectivity.core, *self.connectivity.out}
-        return frozenset(found)
+        known = self.connectivity or Connectivity()
+        return frozenset({*known.core, *known.out})
 
     @property
     def window_s(self) -> float:
--- a/foxtailworks/losses/tests/test_losses.py
+++ b/foxtailworks/losses/tests/test_losses.py
@@ -46,6 +46,12 @@
     assert (rows[4].unanswered, rows[4].rejected) == (1, 1)
 
 
+def test_a_recorded_day_names_neither_hosts_nor_disruptions(tmp_path):
+    row = rows_of(tmp_path, touch=None, events=[])[4]
+    assert row.unanswered == 1
+    assert row.cause is losses.Cause.UNRECORDED
+
+
 def test_totals_begin_with_the_largest_cause(tmp_path):
     found = losses.totals(rows_of(tmp_path))
     assert list(found)[0] is losses.Cause.PARTITION
