--- a/foxtailworks/polling/_followers.py
+++ b/foxtailworks/polling/_followers.py
@@ -2,7 +2,7 @@
 
 from foxtailworks import ids
 
-NOTICE_INTERVAL_S = 0.1
+NOTICE_INTERVAL_S = 0.2
 """Shortest interval between two notices, in which changes are collected."""
 VALID_S = 3.0
 """Time after its last poll for which a host is notified: three polls."""
