--- a/foxtailworks/ctl/_day.py
+++ b/foxtailworks/ctl/_day.py
@@ -30,6 +30,13 @@
         pathlib.Path | None,
         typer.Option(help="Write a picture of credit and cause over time."),
     ] = None,
+    site: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Site file; shows the ceiling of the day NAME."),
+    ] = None,
+    name: typing.Annotated[
+        str, typer.Option(help="Name of the day in the site file.")
+    ] = "",
     show_all: typing.Annotated[
         bool, typer.Option("--all", help="Also show windows without a loss.")
     ] = False,
@@ -44,22 +51,42 @@
         rows = tuple(losses.explain(found, seen))
         if plot is not None:
             losses.draw(rows, plot)
+        limit = _ceiling(found, site, name)
     except errors.FoxtailError as exc:
         typer.echo(str(exc), err=True)
         raise typer.Exit(_exits.exit_of(exc.code)) from exc
     if as_json:
-        typer.echo(json.dumps(_as_dict(found, rows)))
+        typer.echo(json.dumps(_as_dict(found, rows, limit)))
     else:
         _print(found, rows, show_all)
+        if limit is not None:
+            typer.echo(
+                f"worth {found.worth:.3f}, ceiling {limit.worth:.3f}: whole "
+                f"day {limit.whole:.3f}, worst windows {limit.windows:.3f}"
+            )
+
+
+def _ceiling(
+    found: losses.Day, site: pathlib.Path | None, name: str
+) -> losses.Ceiling | None:
+    """Return the ceiling of the day, if its site is given."""
+    if site is None:
+        return None
+    known = losses.read_site(site)
+    return losses.ceiling(found, known, known.down_s(name))
 
 
 def _as_dict(
-    found: losses.Day, rows: tuple[losses.Row, ...]
+    found: losses.Day,
+    rows: tuple[losses.Row, ...],
+    limit: losses.Ceiling | None,
 ) -> dict[str, typing.Any]:
     """Return the day's losses for scripts."""
     return {
         "share": found.whole.share,
         "lost": found.whole.lost,
+        "worth": found.worth,
+        "ceiling": limit and limit.worth,
         "causes": {
             cause.value: lost for cause, lost in losses.totals(rows).items()
         },
--- a/foxtailworks/ctl/tests/test_day.py
+++ b/foxtailworks/ctl/tests/test_day.py
@@ -47,3 +47,13 @@
     found = run(*samples.write(tmp_path, log))
     assert found.exit_code == 3
     assert "elsewhere" in found.stderr
+
+
+def test_the_ceiling_of_a_day_is_shown(tmp_path):
+    report, _ = samples.write(tmp_path)
+    site = tmp_path / "site.toml"
+    site.write_text(samples.SITE)
+    found = run(report, "--site", site, "--name", "trouble-1")
+    assert "ceiling 1.000" in found.stdout.splitlines()[-1]
+    wrong = run(report, "--site", site, "--name", "trouble-9")
+    assert wrong.exit_code == 3
--- a/foxtailworks/losses/__init__.py
+++ b/foxtailworks/losses/__init__.py
@@ -16,6 +16,10 @@
 from foxtailworks.losses._causes import MIN_SHARE
 from foxtailworks.losses._causes import Row
 from foxtailworks.losses._causes import totals
+from foxtailworks.losses._ceiling import Ceiling
+from foxtailworks.losses._ceiling import ceiling
+from foxtailworks.losses._ceiling import read_site
+from foxtailworks.losses._ceiling import Site
 from foxtailworks.losses._logs import read_logs
 from foxtailworks.losses._logs import Sightings
 from foxtailworks.losses._plot import draw
@@ -27,14 +31,18 @@
 __all__ = [
     "MIN_SHARE",
     "Cause",
+    "Ceiling",
     "Day",
     "Disruption",
     "Row",
     "Sightings",
+    "Site",
     "Tally",
+    "ceiling",
     "draw",
     "explain",
     "read_logs",
     "read_report",
+    "read_site",
     "totals",
 ]
--- a/foxtailworks/losses/_report.py
+++ b/foxtailworks/losses/_report.py
@@ -71,11 +71,20 @@
     """Requests by kind."""
     disruptions: tuple[Disruption, ...] = msgspec.field(name="events")
     """Disruptions and planned work in order of time."""
+    worth: float = msgspec.field(name="G", default=0.0)
+    """Worth of the day: weighted parts less prices."""
+    prices: tuple[tuple[str, float, float], ...] = ()
+    """Prices: name, amount, and what is taken off for it."""
     connectivity: Connectivity | None = msgspec.field(
         name="touch", default=None
     )
     """Hosts of the day; None on a recorded day."""
 
+    @property
+    def price(self) -> float:
+        """Sum of all prices."""
+        return sum(taken for _, _, taken in self.prices)
+
     @property
     def hosts(self) -> frozenset[str]:
         """Names of the hosts that the report mentions."""
--- a/foxtailworks/losses/tests/samples.py
+++ b/foxtailworks/losses/tests/samples.py
@@ -52,3 +52,21 @@
     paths[0].write_text(json.dumps(report(**changes)))
     paths[1].write_text(log)
     return paths
+
+
+SITE = """\
+classes = [
+  { name = "lookup", aim_ms = 500, deadline_ms = 1000, worth = 1, \
+late_worth = 0.5, more = 1 },
+]
+[goal]
+mean = 0.5
+window = 0.3
+class = 0.1
+zone = 0.1
+[[day]]
+name = "trouble-1"
+closing = { kind = "power_off_all", down_s = 2.0 }
+[[day]]
+name = "quiet-1"
+"""
--- a/foxtailworks/losses/tests/test_losses.py
+++ b/foxtailworks/losses/tests/test_losses.py
@@ -118,6 +118,49 @@
     assert code is errors.Code.REPORT_INVALID
 
 
+def ceiling_of(folder, down_s, **changes):
+    report, _ = samples.write(folder, **changes)
+    path = folder / "site.toml"
+    path.write_text(samples.SITE)
+    day, site = losses.read_report(report), losses.read_site(path)
+    return losses.ceiling(day, site, down_s)
+
+
+def test_without_a_closing_fault_only_prices_bind(tmp_path):
+    found = ceiling_of(tmp_path, 2.0, prices=[["hosts", 1.0, 0.05]])
+    assert round(found.worth, 6) == 0.95
+
+
+def test_an_outage_takes_what_its_deadlines_take(tmp_path):
+    closing = [samples.event("closing (kill_all)", 10.0, 12.0)]
+    found = ceiling_of(tmp_path, 2.0, events=closing)
+    # In the window of two seconds one is past the deadline, half a second
+    # late and half a second in time: 0 + 0.5 / 2 * 0.5 + 0.5 / 2.
+    assert found.windows == pytest.approx((0.375 + 1.0) / 2)
+    assert found.whole == pytest.approx(1 - 0.625 / 10)
+
+
+def test_a_short_outage_costs_nothing(tmp_path):
+    closing = [samples.event("closing (kill_all)", 10.0, 12.0)]
+    assert ceiling_of(tmp_path, 0.4, events=closing).worth == 1.0
+
+
+def test_a_day_that_the_site_does_not_have_is_an_error(tmp_path):
+    path = tmp_path / "site.toml"
+    path.write_text(samples.SITE)
+    site = losses.read_site(path)
+    assert (site.down_s("trouble-1"), site.down_s("quiet-1")) == (2.0, 0.0)
+    assert code_of(lambda: site.down_s("x")) is errors.Code.REPORT_INVALID
+
+
+@pytest.mark.parametrize("text", ["", "classes = 1", "[", "\xff"])
+def test_another_file_is_not_a_site(tmp_path, text):
+    path = tmp_path / "site.toml"
+    path.write_text(text)
+    code = code_of(lambda: losses.read_site(path))
+    assert code is errors.Code.REPORT_INVALID
+
+
 def test_a_plot_is_a_picture(tmp_path):
     path = tmp_path / "day.png"
     losses.draw(rows_of(tmp_path), path)
