--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -247,7 +247,11 @@
         """Handle a consensus message if it is addressed to this identity."""
         if self.node is None or msg.dst != self.node.replica.keeper:
             return
-        body = _messages.CONSENSUS_CODEC.decode(msg.body)
+        try:
+            body = _messages.CONSENSUS_CODEC.decode(msg.body)
+        except errors.FoxtailError as exc:
+            _EVENTS.failed("consensus_message_dropped", exc)
+            return
         self.node.on_message(msg.src, body, self._clock())
 
     def on_poll(self, msg: polling.Poll, src: ids.Address) -> None:
--- a/foxtailworks/coordinator/tests/test_promises.py
+++ b/foxtailworks/coordinator/tests/test_promises.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from foxtailworks.coordinator import _messages
 from foxtailworks.coordinator.tests import world
 from foxtailworks import errors
 
@@ -315,3 +316,13 @@
         host.is_frozen = False
     else:
         cluster.loss_rate = rng.choice((0.0, 0.05, 0.2))
+
+
+def test_a_malformed_consensus_message_is_dropped():
+    cluster = start_cluster()
+    leader = cluster.leader()
+    keeper = leader.node.replica.keeper
+    for body in (b"", b"\xff", b"\x82\x01\x80"):
+        msg = _messages.ConsensusMessage(keeper, keeper, body)
+        leader.receive(msg, world.address(2))
+    assert put(cluster, 7) is True
--- a/foxtailworks/discovery/_roster.py
+++ b/foxtailworks/discovery/_roster.py
@@ -82,7 +82,10 @@
         if changes.since > source.version:
             return False
         source.answered_at = now
-        source.version = max(source.version, changes.version)
+        if changes.version < source.version:
+            # A later answer has overtaken this one.
+            return True
+        source.version = changes.version
         for item in changes.listed:
             self._apply(source, item, now)
         self._refresh_live(source, now)
--- a/foxtailworks/discovery/tests/test_roster.py
+++ b/foxtailworks/discovery/tests/test_roster.py
@@ -75,3 +75,17 @@
     gap = discovery.Changes(1, first.version, first.version + 1, ())
     assert not roster.merge(FIRST, gap, 0.0)
     assert roster.merge(FIRST, first, 0.0)
+
+
+def test_an_answer_that_was_overtaken_changes_nothing():
+    registry = discovery.Registry(1, LEASE_S)
+    registry.announce(making.instance(), 0.0)
+    early = registry.changes(0, 0)
+    registry.on_tick(LEASE_S + 0.1)
+    late = registry.changes(0, 0)
+    roster = discovery.Roster()
+    for changes in (late, early, early):
+        assert roster.merge(FIRST, changes, 4.0)
+    assert roster.position(FIRST) == (1, late.version)
+    # The lease has expired; a listing of before must not revive it.
+    assert not roster.of_service(SERVICE, 4.5)
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -76,6 +76,7 @@
         self._carry_out = carry_out
         self._audit = _audit.Audit(describe)
         self._is_leaving = False
+        self._stranger_messages = 0
 
     def attach(self, endpoint: datagram.Endpoint) -> None:
         """Set the endpoint that messages are sent through."""
@@ -94,6 +95,10 @@
         now = self._clock()
         gauges = {
             "revision": ("Routes in force.", float(self.steering.revision)),
+            "strangers": (
+                "Messages from addresses that aren't coordinators.",
+                float(self._stranger_messages),
+            ),
             "flows": ("Flows remembered.", float(self.steering.flow_count)),
             "coordinators": (
                 "Coordinators that answer.",
@@ -111,7 +116,14 @@
         self._schedule.put_seeds(seeds, self._clock())
 
     def receive(self, msg: object, src: ids.Address) -> None:
-        """Process a coordinator's answer to a poll, or its notice."""
+        """Process a coordinator's answer to a poll, or its notice.
+
+        Messages of others are dropped and counted: only coordinators are
+        polled, so that no one else has anything to answer.
+        """
+        if not self._schedule.knows(src):
+            self._stranger_messages += 1
+            return
         if isinstance(msg, polling.Notice):
             self._on_notice(msg, src)
             return
--- a/foxtailworks/edge/tests/test_host.py
+++ b/foxtailworks/edge/tests/test_host.py
@@ -230,3 +230,13 @@
     now = driven.now
     driven.host.receive(make_answer(registry), SEED)
     assert not driven.host.steering.suspicions.local_suspects(now)
+
+
+def test_messages_of_others_than_coordinators_are_dropped_and_counted():
+    driven = DrivenHost()
+    registry = discovery.Registry(1, 3.0)
+    stranger = ids.Address("10.9.9.9", 7000)
+    driven.host.receive(make_answer(registry, revision=9), stranger)
+    driven.host.receive(polling.Notice(1, 1, 9), stranger)
+    assert driven.host.steering.revision == 0
+    assert b"foxtail_strangers 2.0" in driven.host.metrics()
--- a/foxtailworks/polling/_schedule.py
+++ b/foxtailworks/polling/_schedule.py
@@ -146,6 +146,10 @@
         contact.is_current = is_current
         return was_lost
 
+    def knows(self, address: ids.Address) -> bool:
+        """Return whether an address is one of a coordinator."""
+        return address in self._contacts
+
     def request_poll(self, address: ids.Address) -> None:
         """Poll a coordinator as soon as its last poll isn't too recent."""
         contact = self._contacts.get(address)
