--- a/foxtailworks/udp/_socket.py
+++ b/foxtailworks/udp/_socket.py
@@ -32,7 +32,8 @@
         self._on_datagram = on_datagram
         self._transport: asyncio.DatagramTransport | None = None
         self.error_count = 0
-        """Errors that the kernel reported, such as ICMP port unreachable."""
+        """Datagrams that couldn't be sent, and errors that the kernel
+        reported, such as ICMP port unreachable."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enlarge the socket's receive buffer."""
@@ -51,9 +52,16 @@
         self.error_count += 1
 
     def send(self, data: bytes, target: ids.Address) -> None:
-        """Send one datagram; delivery is not guaranteed."""
+        """Send one datagram; delivery is not guaranteed.
+
+        An address that this socket can't reach, such as one of another
+        family in a message, is counted and must not end the program.
+        """
         assert self._transport is not None
-        self._transport.sendto(data, (target.ip, target.port))
+        try:
+            self._transport.sendto(data, (target.ip, target.port))
+        except (OSError, ValueError):
+            self.error_count += 1
 
     def local(self) -> ids.Address:
         """Return the address that the socket is bound to."""
