--- a/foxtailworks/discovery/_roster.py
+++ b/foxtailworks/discovery/_roster.py
@@ -17,6 +17,8 @@
 itself again by then."""
 TOMBSTONE_S = 60.0
 """Time after which an instance that isn't live any more is removed."""
+REMOVAL_INTERVAL_S = 1.0
+"""Interval between two searches for such instances."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +55,7 @@
         self._known: dict[_table.Key, KnownInstance] = {}
         self._by_service: dict[ids.ServiceId, list[KnownInstance]] = {}
         self._indexed_version = -1
+        self._next_removal_at = 0.0
         self.version = 0
         """Number that grows with each change of an instance."""
 
@@ -96,8 +99,9 @@
 
         Nothing is removed while no coordinator answers.
         """
-        if not self.answering_count(now):
+        if now < self._next_removal_at or not self.answering_count(now):
             return
+        self._next_removal_at = now + REMOVAL_INTERVAL_S
         for key, known in list(self._known.items()):
             if now - known.live_at > TOMBSTONE_S:
                 del self._known[key]
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -331,6 +331,8 @@
         it is most likely partitioned itself, or was stopped for a while.
         """
         suspects = self.suspicions.local_suspects(now)
+        if not suspects:
+            return ()
         live = sum(
             self._roster.is_presumed_live(item, now)
             for item in self._roster.all()
