--- /dev/null
+++ b/foxtailworks/polling/tests/test_messages.py
@@ -0,0 +1,38 @@
+"""Hosts of the previous release and of this one understand each other."""
+
+import cbor2
+
+from foxtailworks import discovery
+from foxtailworks import ids
+from foxtailworks import polling
+
+CHANGES = discovery.Registry(1, 3.0).changes(0, 0)
+POLL = polling.Poll(ids.HostId("e1"), 1, 2, 3, (), True)
+ANSWER = polling.PollAnswer(CHANGES, 3, b"", (), (), False)
+
+
+def shortened(msg):
+    """Return a message without its last field, as the last release sent it."""
+    number, fields = cbor2.loads(polling.CODEC.encode(msg))
+    return cbor2.dumps([number, fields[:-1]])
+
+
+def extended(msg):
+    """Return a message with a field that a later release may add."""
+    number, fields = cbor2.loads(polling.CODEC.encode(msg))
+    return cbor2.dumps([number, [*fields, "new"]])
+
+
+def test_a_host_of_the_last_release_is_no_follower():
+    found = polling.CODEC.decode(shortened(POLL))
+    assert not found.is_follower
+    assert found.revision == POLL.revision
+
+
+def test_a_coordinator_of_the_last_release_counts_as_current():
+    assert polling.CODEC.decode(shortened(ANSWER)).is_current
+
+
+def test_fields_of_a_later_release_are_ignored():
+    for msg in (POLL, ANSWER, polling.Notice(1, 2, 3)):
+        assert polling.CODEC.decode(extended(msg)) == msg
