--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -5,19 +5,17 @@
 import contextlib
 import functools
 import random
-import typing
 import uuid
 
 from foxtailworks import agreement
 from foxtailworks.coordinator import _documents
+from foxtailworks.coordinator import _edge_hosts
 from foxtailworks.coordinator import _group
 from foxtailworks.coordinator import _hints
 from foxtailworks.coordinator import _instance_log
 from foxtailworks.coordinator import _messages
 from foxtailworks.coordinator import _peers
 from foxtailworks.coordinator import _settings
-from foxtailworks.coordinator import _start_reply
-from foxtailworks.coordinator import _suspicions
 from foxtailworks import datagram
 from foxtailworks import discovery
 from foxtailworks import errors
@@ -28,7 +26,6 @@
 from foxtailworks import replicated
 from foxtailworks import revisions
 from foxtailworks import service
-from foxtailworks import steering
 from foxtailworks import udp
 from foxtailworks import warmstart
 
@@ -48,9 +45,6 @@
 
 _EVENTS = logs.Events("coordinator")
 
-ReadTable: typing.TypeAlias = abc.Callable[[bytes], steering.RouteTable]
-"""Function that returns the routes in an operator's document."""
-
 
 def _new_keeper() -> ids.KeeperId:
     """Create an identity for an empty disk."""
@@ -69,7 +63,7 @@
     def __init__(
         self,
         cfg: _settings.Settings,
-        read_table: ReadTable,
+        read_table: _edge_hosts.ReadTable,
         clock: abc.Callable[[], float],
         rng: random.Random,
         open_files: abc.Callable[[], journal.Files] | None = None,
@@ -78,18 +72,16 @@
         self._open_files = open_files or (
             lambda: journal.DiskFiles(cfg.data_folder)
         )
-        self._read_table = read_table
-        self._tables = steering.TableCodec()
         self._clock = clock
         self._rng = rng
         now = clock()
         self._session = rng.getrandbits(62)
         self.registry = discovery.Registry(self._session, cfg.lease_s)
         self._peers = _peers.Peers(cfg.listen_address, cfg.seeds, now)
-        self._suspicions = _suspicions.SuspicionTracker()
-        self._followers = polling.Followers()
+        self._edge_hosts = _edge_hosts.EdgeHosts(
+            self.registry, self._peers, read_table, rng
+        )
         self._endpoint: datagram.Endpoint | None = None
-        self._compiled_routes = (0, b"")
         self._last_tick = now
         self._group = _group.Group(cfg, self._peers, now)
         self._next_presence_at = self._next_relay_at = now
@@ -255,20 +247,17 @@
         self.node.on_message(msg.src, body, self._clock())
 
     def on_poll(self, msg: polling.Poll, src: ids.Address) -> None:
-        """Record a host's suspicions and answer its poll."""
-        now = self._clock()
-        self._suspicions.update(msg.host, msg.suspected, now)
-        self._followers.on_poll(src, msg.is_follower, now)
-        revision, table = self._committed_routes()
-        answer = polling.PollAnswer(
-            self.registry.changes(msg.session, msg.registry_version),
-            revision,
-            table if msg.revision < revision else b"",
-            self._peers.recent_addresses(now),
-            self._suspicions.suspected(now),
-            self._is_current(),
+        """Answer the poll of an edge host."""
+        self._send(self.answer_poll(msg, src), src)
+
+    def answer_poll(
+        self, msg: polling.Poll, src: ids.Address
+    ) -> polling.PollAnswer:
+        """Return the answer to an edge host's poll."""
+        document = self._committed_document()
+        return self._edge_hosts.answer(
+            msg, src, document, self._is_current(), self._clock()
         )
-        self._send(answer, src)
 
     def _is_current(self) -> bool:
         """Return whether this coordinator knows a leader.
@@ -277,12 +266,10 @@
         """
         return self.node is not None and self.node.replica.leader is not None
 
-    def _notify_followers(self, now: float) -> None:
-        """Notify the following hosts of changes."""
-        version = self.registry.version
+    def _notify_edge_hosts(self, now: float) -> None:
+        """Notify the following hosts of changes if a notice is due."""
         revision = self._committed_document().revision
-        addresses = self._followers.to_notify((version, revision), now)
-        msg = polling.Notice(self._session, version, revision)
+        msg, addresses = self._edge_hosts.notice(revision, now)
         for address in addresses:
             self._send(msg, address)
 
@@ -299,17 +286,6 @@
             self._restored_document = document
         return self._restored_document
 
-    def _committed_routes(self) -> tuple[int, bytes]:
-        """Return revision and encoded routes of the committed document."""
-        document = self._committed_document()
-        if document.revision > self._compiled_routes[0]:
-            table = self._read_table(document.text())
-            self._compiled_routes = (
-                document.revision,
-                self._tables.encode(table),
-            )
-        return self._compiled_routes
-
     # Periodic work.
 
     def on_tick(self, now: float) -> None:
@@ -331,24 +307,15 @@
         if self.node is not None:
             self._group.on_tick(self.node, now)
         self.process_events()
-        self._notify_followers(now)
+        self._notify_edge_hosts(now)
+        document = self._committed_document()
         self._hints.save_if_due(
             self.registry,
-            self._committed_document(),
-            self._make_start_reply,
+            document,
+            lambda live: self._edge_hosts.start_reply(live, document, now),
             now,
         )
 
-    def _make_start_reply(
-        self, live: tuple[discovery.Instance, ...]
-    ) -> warmstart.Reply:
-        """Return the answer to polls that the next start begins with."""
-        revision, table = self._committed_routes()
-        addresses = self._peers.recent_addresses(self._clock())
-        return _start_reply.make_reply(
-            live, revision, table, addresses, self._rng
-        )
-
     def _announce_presence(self, now: float) -> None:
         """Send a presence message to all others if one is due."""
         if now < self._next_presence_at or self.node is None:
@@ -425,7 +392,7 @@
 @contextlib.asynccontextmanager
 async def opened(
     cfg: _settings.Settings,
-    read_table: ReadTable,
+    read_table: _edge_hosts.ReadTable,
     clock: abc.Callable[[], float],
     rng: random.Random,
     stop: asyncio.Event,
--- a/foxtailworks/coordinator/tests/test_machine.py
+++ b/foxtailworks/coordinator/tests/test_machine.py
@@ -154,7 +154,7 @@
     @stateful.invariant()
     def routes_are_of_committed_documents(self):
         for host in self.world.running():
-            revision, _ = host.program._committed_routes()
+            revision = world.routes_revision(host.program)
             assert revision in {0, *self.texts}
             # An edge host may use this revision, so no later read may return
             # an older one.
--- a/foxtailworks/coordinator/tests/test_promises.py
+++ b/foxtailworks/coordinator/tests/test_promises.py
@@ -236,7 +236,7 @@
 def routes_revision(cluster, number):
     """Return the revision that a coordinator would send to an edge host."""
     host = cluster.hosts[world.address(number)]
-    return host.program._committed_routes()[0]
+    return world.routes_revision(host.program)
 
 
 def test_routes_are_available_after_a_start_without_a_leader(tmp_path):
--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -9,6 +9,7 @@
 from foxtailworks import edge
 from foxtailworks import ids
 from foxtailworks import journal
+from foxtailworks import polling
 from foxtailworks import steering
 from foxtailworks import upkeep
 
@@ -23,6 +24,12 @@
     return ids.Address(f"10.1.{number // 250}.{number % 250}", 7001)
 
 
+def routes_revision(program):
+    """Return the revision that an edge host without routes would get."""
+    poll = polling.Poll(ids.HostId("e9"), 0, 0, 0)
+    return program.answer_poll(poll, edge_address(9)).revision
+
+
 def read_table(text):
     """Return a table with the revision at the end of the document."""
     return steering.RouteTable(int(text.split()[-1]), (), 15_000)
