--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -162,10 +162,10 @@
         suspicions = self.steering.suspicions
         if suspicions.has_updates:
             suspicions.has_updates = False
-            self._schedule.request_all()
+            self._schedule.request_polls_of_all()
         if self.steering.has_unknown_tokens:
             self.steering.has_unknown_tokens = False
-            self._schedule.request_polls(now)
+            self._schedule.request_polls_of_followed(now)
         for due in self._schedule.due(now, self._need(now)):
             self._poll(due, now)
 
--- a/foxtailworks/polling/_schedule.py
+++ b/foxtailworks/polling/_schedule.py
@@ -156,11 +156,16 @@
         if contact is not None:
             contact.next_poll_at = contact.polled_at + URGENT_S
 
-    def request_polls(self, now: float) -> None:
+    def request_polls_of_followed(self, now: float) -> None:
         """Poll the followed coordinators as soon as possible."""
         for address in self._followed(now):
             self.request_poll(address)
 
+    def request_polls_of_all(self) -> None:
+        """Poll all coordinators at once, to report a suspicion."""
+        for address in self._contacts:
+            self.request_poll(address)
+
     def due(self, now: float, need: Need) -> tuple[DuePoll, ...]:
         """Return the coordinators to poll now, and record the polls."""
         self._drop_unresponsive(now)
@@ -183,11 +188,6 @@
             due.append(DuePoll(address, is_followed))
         return tuple(due)
 
-    def request_all(self) -> None:
-        """Poll all coordinators at once, to report a suspicion."""
-        for address in self._contacts:
-            self.request_poll(address)
-
     def _poll_time(
         self, contact: _Contact, need: Need, is_short: bool
     ) -> float:
--- a/foxtailworks/polling/tests/test_schedule.py
+++ b/foxtailworks/polling/tests/test_schedule.py
@@ -147,7 +147,7 @@
     driven.run(3.0)
     first = len(driven.polls)
     for _ in range(50):
-        driven.schedule.request_all()
+        driven.schedule.request_polls_of_all()
         driven.run(TICK_S)
     # One second; at most a poll in 50 ms of each, twenty in all.
     assert len(driven.polls) - first <= 6 * 20
--- a/foxtailworks/steering/tests/test_long_flows.py
+++ b/foxtailworks/steering/tests/test_long_flows.py
@@ -13,8 +13,8 @@
 from foxtailworks.discovery.tests import making
 from foxtailworks import ids
 from foxtailworks import steering
+from foxtailworks.steering.tests import tables
 
-DESTINATION = ids.Address("198.18.0.1", 443)
 PEER = ids.Address("10.0.0.1", 1)
 HOSTS = 3
 SLOTS = 2
@@ -63,16 +63,8 @@
             )
             for n in range(HOSTS)
         ]
-        route = steering.Route(
-            DESTINATION,
-            (steering.Share(ids.ServiceId("desk"), 1),),
-            steering.RequestKind.IDEMPOTENT,
-            2_500,
-            250,
-            1,
-        )
         for host in self.hosts:
-            host.put_routes(steering.RouteTable(1, (route,), 15_000))
+            host.put_routes(tables.one_route())
         self.servers = {}
         self.add_servers(range(OLD))
         self.waits_s = []
@@ -98,14 +90,19 @@
         """Place a flow; return its host, key and token."""
         host = self.hosts[number % HOSTS]
         flow = steering.FlowKey(number.to_bytes(12, "big"))
-        placed = host.open(steering.Syn(flow, DESTINATION, 0, b"syn"), now)
+        placed = host.open(
+            steering.Syn(flow, tables.DESTINATION, 0, b"syn"), now
+        )
         return host, flow, placed
 
     def send(self, opened, now, work_s, has_ended):
         """Send a request; the caller acknowledges its answer."""
         host, flow, placed = opened
         host.forward(
-            steering.Packet(flow, DESTINATION, placed.token, False, True), now
+            steering.Packet(
+                flow, tables.DESTINATION, placed.token, False, True
+            ),
+            now,
         )
         answered_at = self.servers[placed.instance.key].run(now, work_s)
         self.at(answered_at, self.acknowledge, opened, has_ended)
@@ -114,7 +111,9 @@
     def acknowledge(self, now, opened, has_ended):
         host, flow, placed = opened
         host.forward(
-            steering.Packet(flow, DESTINATION, placed.token, has_ended, False),
+            steering.Packet(
+                flow, tables.DESTINATION, placed.token, has_ended, False
+            ),
             now,
         )
 
@@ -170,19 +169,23 @@
     chosen = []
     for number in range(4):
         flow = steering.FlowKey(number.to_bytes(12, "big"))
-        syn = steering.Syn(flow, DESTINATION, 0, b"syn")
+        syn = steering.Syn(flow, tables.DESTINATION, 0, b"syn")
         placed = host.open(syn, 0.0)
         chosen.append(placed.instance.key)
-        last = steering.Packet(flow, DESTINATION, placed.token, False, False)
+        last = steering.Packet(
+            flow, tables.DESTINATION, placed.token, False, False
+        )
         host.forward(last, 0.0)
     # Each is idle a moment later.
     assert len(set(chosen)) == OLD
     assert list(host.on_tick(0.2)) == []
     flow = steering.FlowKey((9).to_bytes(12, "big"))
-    busy = host.open(steering.Syn(flow, DESTINATION, 0, b"syn"), 0.2)
+    busy = host.open(steering.Syn(flow, tables.DESTINATION, 0, b"syn"), 0.2)
     for number in range(10, 10 + OLD - 1):
         flow = steering.FlowKey(number.to_bytes(12, "big"))
-        found = host.open(steering.Syn(flow, DESTINATION, 0, b"syn"), 0.2)
+        found = host.open(
+            steering.Syn(flow, tables.DESTINATION, 0, b"syn"), 0.2
+        )
         assert found.instance.key != busy.instance.key
 
 
@@ -200,19 +203,13 @@
         registry.announce(item, 0.0)
     roster.merge(PEER, registry.changes(0, 0), 0.0)
     host = steering.Steering(roster, ids.ZoneId("a"), random.Random(1))
-    route = steering.Route(
-        DESTINATION,
-        (steering.Share(ids.ServiceId("desk"), 1),),
-        steering.RequestKind.IDEMPOTENT,
-        2_500,
-        250,
-        1,
-    )
-    host.put_routes(steering.RouteTable(1, (route,), 15_000))
+    host.put_routes(tables.one_route())
     zones = []
     for number in range(6):
         flow = steering.FlowKey(number.to_bytes(12, "big"))
-        placed = host.open(steering.Syn(flow, DESTINATION, 0, b"syn"), 0.0)
+        placed = host.open(
+            steering.Syn(flow, tables.DESTINATION, 0, b"syn"), 0.0
+        )
         zones.append(placed.instance.zone)
     assert zones[:2] == ["a", "a"]
     assert sorted(zones) == list("aabbcc")
--- a/foxtailworks/steering/tests/test_partition.py
+++ b/foxtailworks/steering/tests/test_partition.py
@@ -8,8 +8,8 @@
 from foxtailworks.discovery.tests import making
 from foxtailworks import ids
 from foxtailworks import steering
+from foxtailworks.steering.tests import tables
 
-DESTINATION = ids.Address("198.18.0.1", 443)
 PEER = ids.Address("10.0.0.1", 1)
 ZONE = ids.ZoneId("a")
 HOSTS = 3
@@ -48,20 +48,12 @@
             registry.announce(item, 0.0)
             self.free_at[item.key] = [0.0] * SLOTS
         roster.merge(PEER, registry.changes(0, 0), 0.0)
-        route = steering.Route(
-            DESTINATION,
-            (steering.Share(ids.ServiceId("desk"), 1),),
-            steering.RequestKind.IDEMPOTENT,
-            2_500,
-            250,
-            1,
-        )
         self.hosts = [
             steering.Steering(roster, ZONE, random.Random(n))
             for n in range(HOSTS)
         ]
         for host in self.hosts:
-            host.put_routes(steering.RouteTable(1, (route,), 15_000))
+            host.put_routes(tables.one_route())
         self.opened = set()
         self.begun_at = {}
         self.latency_s = {}
@@ -82,7 +74,7 @@
             return
         host = self.hosts[number % HOSTS]
         flow = steering.FlowKey(number.to_bytes(12, "big"))
-        syn = steering.Syn(flow, DESTINATION, copy, flow)
+        syn = steering.Syn(flow, tables.DESTINATION, copy, flow)
         self.arrive(now, number, host.open(syn, now))
 
     def arrive(self, now, number, decision):
@@ -104,7 +96,7 @@
     def send_packet(self, now, number, decision, has_ended):
         flow = steering.FlowKey(number.to_bytes(12, "big"))
         packet = steering.Packet(
-            flow, DESTINATION, decision.token, has_ended, not has_ended
+            flow, tables.DESTINATION, decision.token, has_ended, not has_ended
         )
         self.hosts[number % HOSTS].forward(packet, now)
 
