--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -79,7 +79,7 @@
         self.registry = discovery.Registry(self._session, cfg.lease_s)
         self._peers = _peers.Peers(cfg.listen_address, cfg.seeds, now)
         self._edge_hosts = _edge_hosts.EdgeHosts(
-            self.registry, self._peers, read_table, rng
+            self.registry, self._peers, read_table, self._encode, rng
         )
         self._endpoint: datagram.Endpoint | None = None
         self._last_tick = now
@@ -222,6 +222,11 @@
         assert self._endpoint is not None
         self._endpoint.send(msg, address)
 
+    def _encode(self, msg: object) -> tuple[bytes, ...]:
+        """Return the datagrams of a message."""
+        assert self._endpoint is not None
+        return self._endpoint.encode(msg)
+
     def receive(self, msg: object, src: ids.Address) -> None:
         """Handle one received message."""
         _dispatch(msg, self, src)
@@ -248,7 +253,12 @@
 
     def on_poll(self, msg: polling.Poll, src: ids.Address) -> None:
         """Answer the poll of an edge host."""
-        self._send(self.answer_poll(msg, src), src)
+        assert self._endpoint is not None
+        document = self._committed_document()
+        answer = self._edge_hosts.encoded_answer(
+            msg, src, document, self._is_current(), self._clock()
+        )
+        self._endpoint.send_encoded(answer, src)
 
     def answer_poll(
         self, msg: polling.Poll, src: ids.Address
--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -55,6 +55,12 @@
     def send(self, msg, target):
         self._world.transmit(self._src, target, msg)
 
+    def encode(self, msg):
+        return msg
+
+    def send_encoded(self, msg, target):
+        self.send(msg, target)
+
 
 class World:
     """All simulated hosts, the network between them, and the clock."""
--- a/foxtailworks/datagram/_endpoint.py
+++ b/foxtailworks/datagram/_endpoint.py
@@ -53,10 +53,23 @@
 
         :raises FoxtailError: ``MESSAGE_TOO_LARGE``
         """
+        self.send_encoded(self.encode(msg), target)
+
+    def encode(self, msg: object) -> tuple[bytes, ...]:
+        """Return the datagrams of a message for any number of receivers.
+
+        :raises FoxtailError: ``MESSAGE_TOO_LARGE``
+        """
+        number = next(self._message_numbers)
+        return tuple(_fragments.split(number, self._codec.encode(msg)))
+
+    def send_encoded(
+        self, datagrams: abc.Iterable[bytes], target: ids.Address
+    ) -> None:
+        """Send the datagrams of one message; delivery is not guaranteed."""
         assert self._socket is not None
-        data = self._codec.encode(msg)
-        for datagram in _fragments.split(next(self._message_numbers), data):
-            self._socket.send(datagram, target)
+        for item in datagrams:
+            self._socket.send(item, target)
 
     def receive(self, datagram: bytes, src: ids.Address) -> None:
         """Process one datagram; count and drop one that cannot be decoded.
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -19,6 +19,9 @@
 
 TICK_S = 0.02
 """Half the minimum timeout after which an unanswered SYN is placed again."""
+ROUTES_WAIT_S = 0.15
+"""Time for which a host waits for routes from one coordinator before it asks
+the next that has them: tables are large."""
 STARTING_S = 1.0
 """Time after its start for which a host is ready without routes: routers
 check twice a second, routes arrive within a tenth of a second, and SYNs
@@ -77,6 +80,7 @@
         self._audit = _audit.Audit(describe)
         self._is_leaving = False
         self._stranger_messages = 0
+        self._asked_for_routes_at = float("-inf")
 
     def attach(self, endpoint: datagram.Endpoint) -> None:
         """Set the endpoint that messages are sent through."""
@@ -146,7 +150,14 @@
             msg.session,
             msg.registry_version,
         )
-        if has_changes or msg.revision > self.steering.revision:
+        has_routes = msg.revision > self.steering.revision
+        now = self._clock()
+        if has_routes and now - self._asked_for_routes_at < ROUTES_WAIT_S:
+            # Another coordinator is about to answer with them.
+            has_routes = False
+        if has_routes:
+            self._asked_for_routes_at = now
+        if has_changes or has_routes:
             self._schedule.request_poll(src)
 
     def on_tick(self, now: float) -> None:
