--- a/foxtailworks/warmstart/_reply.py
+++ b/foxtailworks/warmstart/_reply.py
@@ -54,7 +54,8 @@
     _, size, checksum = _HEADER.unpack_from(data)
     end = _HEADER.size + size
     body = data[_HEADER.size : end]
-    if len(body) < size or zlib.crc32(body) != checksum:
+    is_whole = _LENGTH.size <= size == len(body)
+    if not is_whole or zlib.crc32(body) != checksum:
         return None, data[end:]
     (offset,) = _LENGTH.unpack_from(body)
     signature, *datagrams = _parts(body[_LENGTH.size :])
--- a/foxtailworks/warmstart/tests/test_warmstart.py
+++ b/foxtailworks/warmstart/tests/test_warmstart.py
@@ -39,6 +39,12 @@
     assert warmstart.split(warmstart.pack(REPLY)[:size])[0] is None
 
 
+def test_a_file_that_goes_on_with_zeros_has_no_reply():
+    # The checksum of nothing is 0.
+    for size in range(40):
+        assert warmstart.split(b"FXR1" + bytes(size))[0] is None
+
+
 def test_a_damaged_reply_is_not_used_and_the_rest_is_read():
     data = bytearray(warmstart.pack(REPLY) + b"rest")
     data[20] ^= 1
