--- a/foxtailworks/steering/_choice.py
+++ b/foxtailworks/steering/_choice.py
@@ -43,7 +43,7 @@
         candidates: typing.Sequence[discovery.KnownInstance],
         penalty: abc.Callable[[discovery.KnownInstance], float],
     ) -> discovery.KnownInstance | None:
-        """Return the least loaded candidate; None when there is none.
+        """Return one of the least loaded candidates; None without any.
 
         :param penalty: returns the evidence against a candidate; by so many
             flows per slot the others must be more loaded
