Receive large answers by request, one at a time, and routes as changes

No host that was watched received another datagram after 46.5 s, and the seeds' consensus messages are lost as well, so no leader is elected: a state that the system doesn't leave. Ruled out: processor time; lost data (all six disks open at the last index).

Change: a host grants few parts with a poll, requests the rest from one coordinator at a time, only what is missing, slower after each loss; at most 24 parts are outstanding over all coordinators (asserted). Without a grant a coordinator answers a summary. Routes come as changes to the host's revision, checked by a digest. The saved reply is sent in the same way. Hosts and coordinators of the last release are understood.

--- a/foxtailworks/coordinator/_edge_hosts.py
+++ b/foxtailworks/coordinator/_edge_hosts.py
@@ -28,8 +28,6 @@
     """Version of the registry."""
     revision: int
     """Revision of the committed routes."""
-    table: bytes
-    """Encoded routes."""
     coordinators: tuple[ids.Address, ...]
     """Coordinators with recent contact."""
     suspected: tuple[_suspicions.InstanceKey, ...]
@@ -38,6 +36,13 @@
     """Whether the coordinator knows a leader."""
 
 
+_AnswerKey: typing.TypeAlias = tuple[int, int | None]
+# Version of the registry that a host has, and revision to which it gets
+# changes: 0 for a whole table, None for no table.
+
+_SUMMARY: _AnswerKey = (-1, None)
+
+
 class EdgeHosts:
     """Answers edge hosts' polls and notifies those that follow.
 
@@ -61,10 +66,10 @@
         self._rng = rng
         self._suspicions = _suspicions.SuspicionTracker()
         self._followers = polling.Followers()
-        self._tables = steering.TableCodec()
-        self._compiled_routes = (0, b"")
+        self._tables = steering.TableEncoder()
+        self._large = polling.LargeAnswers()
         self._encode = encode
-        self._encoded: dict[tuple[int, bool], tuple[bytes, ...]] = {}
+        self._encoded: dict[_AnswerKey, tuple[bytes, ...]] = {}
         self._encoded_state: _State | None = None
 
     def answer(
@@ -91,22 +96,64 @@
         is_current: bool,
         now: float,
     ) -> tuple[bytes, ...]:
-        """Do as :meth:`answer` and return the answer's datagrams.
+        """Do as :meth:`answer` and return the datagrams to send.
 
         Hosts that have the same get the same, so that a change or the return
         of many hosts costs one encoding and compression, not one for each.
+        Of a large answer a host gets as many parts as it grants, the others
+        by request; without a grant it gets a summary.
         """
         state = self._record(msg, src, document, is_current, now)
+        datagrams = self._cached_answer(msg, state)
+        if len(datagrams) > 1:
+            self._large.keep(datagrams)
+        if len(datagrams) <= max(1, msg.max_parts):
+            return datagrams
+        if msg.max_parts == 0:
+            return self._cached_summary(state)
+        return datagrams[: msg.max_parts]
+
+    def encoded_parts(
+        self, msg: polling.PartRequest
+    ) -> tuple[bytes, ...] | None:
+        """Return the parts of a large answer that a host requests.
+
+        :returns: None when the answer isn't kept any more
+        """
+        positions = msg.positions()[: polling.MAX_OUTSTANDING]
+        return self._large.parts(msg.number, positions)
+
+    def keep(self, datagrams: tuple[bytes, ...]) -> None:
+        """Keep a large answer whose first parts were sent already."""
+        self._large.keep(datagrams)
+
+    def _cached_answer(
+        self, msg: polling.Poll, state: _State
+    ) -> tuple[bytes, ...]:
+        """Return the datagrams of the answer to a poll."""
+        is_same_session = msg.session == self._registry.session
+        since = msg.registry_version if is_same_session else 0
+        key = since, self._base_for(msg)
+        return self._cached(key, state, lambda: self._make_answer(msg, state))
+
+    def _cached_summary(self, state: _State) -> tuple[bytes, ...]:
+        """Return the datagrams of a summary."""
+        return self._cached(_SUMMARY, state, lambda: self._summary(state))
+
+    def _cached(
+        self,
+        key: _AnswerKey,
+        state: _State,
+        make: abc.Callable[[], polling.PollAnswer | polling.Summary],
+    ) -> tuple[bytes, ...]:
+        """Return the datagrams of a message, from the cache if possible."""
         if state != self._encoded_state or (
             len(self._encoded) >= MAX_CACHED_ANSWERS
         ):
             self._encoded_state = state
             self._encoded.clear()
-        is_same_session = msg.session == self._registry.session
-        since = msg.registry_version if is_same_session else 0
-        key = since, msg.revision < state.revision
         if key not in self._encoded:
-            self._encoded[key] = self._encode(self._make_answer(msg, state))
+            self._encoded[key] = self._encode(make())
         return self._encoded[key]
 
     def _record(
@@ -120,11 +167,10 @@
         """Record what a poll says; return the state that its answer tells."""
         self._suspicions.update(msg.host, msg.suspected, now)
         self._followers.on_poll(src, msg.is_follower, now)
-        revision, table = self._routes_of(document)
+        self._update_routes(document)
         return _State(
             self._registry.version,
-            revision,
-            table,
+            self._tables.revision,
             self._peers.recent_addresses(now),
             self._suspicions.suspected(now),
             is_current,
@@ -137,12 +183,39 @@
         return polling.PollAnswer(
             self._registry.changes(msg.session, msg.registry_version),
             state.revision,
-            state.table if msg.revision < state.revision else b"",
+            self._table_for(msg),
             state.coordinators,
             state.suspected,
             state.is_current,
         )
 
+    def _summary(self, state: _State) -> polling.Summary:
+        """Return a summary of what answers tell."""
+        return polling.Summary(
+            self._registry.session,
+            state.registry_version,
+            state.revision,
+            state.coordinators,
+            state.suspected,
+            state.is_current,
+        )
+
+    def _base_for(self, msg: polling.Poll) -> int | None:
+        """Return the revision to which a host gets changes.
+
+        :returns: 0 for a whole table, None when the host needs no table
+        """
+        if msg.revision >= self._tables.revision:
+            return None
+        understands_changes = msg.max_parts != polling.ALL_PARTS
+        is_known = self._tables.knows(msg.revision)
+        return msg.revision if understands_changes and is_known else 0
+
+    def _table_for(self, msg: polling.Poll) -> bytes:
+        """Return the encoded table, or the changes, that a host needs."""
+        base = self._base_for(msg)
+        return b"" if base is None else self._tables.encode(base)
+
     def notice(
         self, revision: int, now: float
     ) -> tuple[polling.Notice, tuple[ids.Address, ...]]:
@@ -159,20 +232,16 @@
         now: float,
     ) -> warmstart.Reply:
         """Return the answer to polls that the next start begins with."""
-        revision, table = self._routes_of(document)
-        addresses = self._peers.recent_addresses(now)
+        self._update_routes(document)
         return _start_reply.make_reply(
-            live, revision, table, addresses, self._rng
+            live,
+            self._tables.revision,
+            self._tables.encode(),
+            self._peers.recent_addresses(now),
+            self._rng,
         )
 
-    def _routes_of(
-        self, document: revisions.StoredDocument
-    ) -> tuple[int, bytes]:
-        """Return revision and encoded routes of a committed document."""
-        if document.revision > self._compiled_routes[0]:
-            table = self._read_table(document.text())
-            self._compiled_routes = (
-                document.revision,
-                self._tables.encode(table),
-            )
-        return self._compiled_routes
+    def _update_routes(self, document: revisions.StoredDocument) -> None:
+        """Read the routes of a committed document if it is a newer one."""
+        if document.revision > self._tables.revision:
+            self._tables.put(self._read_table(document.text()))
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -260,6 +260,22 @@
         )
         self._endpoint.send_encoded(answer, src)
 
+    def on_part_request(
+        self, msg: polling.PartRequest, src: ids.Address
+    ) -> None:
+        """Send an edge host parts of a large answer."""
+        assert self._endpoint is not None
+        parts = self._edge_hosts.encoded_parts(msg)
+        if parts is None:
+            self._send(polling.PartsGone(msg.number), src)
+        else:
+            self._endpoint.send_encoded(parts, src)
+
+    def keep_reply(self, datagrams: tuple[bytes, ...]) -> None:
+        """Keep the saved reply, whose parts hosts may still request."""
+        if datagrams:
+            self._edge_hosts.keep(datagrams)
+
     def answer_poll(
         self, msg: polling.Poll, src: ids.Address
     ) -> polling.PollAnswer:
@@ -399,6 +415,13 @@
     program.on_poll(msg, src)
 
 
+@_dispatch.register
+def _(
+    msg: polling.PartRequest, program: Coordinator, src: ids.Address
+) -> None:
+    program.on_part_request(msg, src)
+
+
 @contextlib.asynccontextmanager
 async def opened(
     cfg: _settings.Settings,
@@ -422,6 +445,7 @@
         early.socket if early else None,
     ) as endpoint:
         program.attach(endpoint)
+        program.keep_reply(early.reply_datagrams if early else ())
         for data, peer in early.take_unanswered() if early else ():
             endpoint.receive(data, udp.address_of(*peer))
         async with service.run_periodically(
--- a/foxtailworks/coordinator/_start_reply.py
+++ b/foxtailworks/coordinator/_start_reply.py
@@ -17,6 +17,8 @@
 _TYPE_BYTES = 2
 # Bytes of an encoded message up to the end of the number of its type.
 _NUMBER_BITS = 32
+_NUMBER_FIELD_BYTES = 6
+# Bytes of the fields' array and of the number in an encoded request of parts.
 
 
 def make_reply(
@@ -36,12 +38,22 @@
     listed = tuple(discovery.ListedInstance(item, True) for item in live)
     changes = discovery.Changes(rng.getrandbits(62), 0, 1, listed)
     answer = polling.PollAnswer(changes, revision, table, coordinators)
-    poll = polling.Poll(ids.HostId(""), 0, 0, 0)
-    offset, signature = datagram.signature(
-        polling.CODEC.encode(poll), _TYPE_BYTES
-    )
-    # The number of the message differs from those of the endpoint, which
+    # The numbers of the messages differ from those of the endpoint, which
     # counts from 0, so that fragments of both aren't mixed.
     number = rng.getrandbits(_NUMBER_BITS) | 1 << _NUMBER_BITS - 1
     datagrams = datagram.split(number, polling.CODEC.encode(answer))
-    return warmstart.Reply(offset, signature, tuple(datagrams))
+    summary = polling.Summary(
+        changes.session, 1, revision, coordinators, (), is_current=True
+    )
+    summaries = datagram.split(number ^ 1, polling.CODEC.encode(summary))
+    offset, polls = _signature(polling.Poll(ids.HostId(""), 0, 0, 0))
+    request = polling.PartRequest(number, b"")
+    _, requests = _signature(request, _TYPE_BYTES + _NUMBER_FIELD_BYTES)
+    return warmstart.Reply(
+        offset, polls, requests, tuple(summaries), tuple(datagrams)
+    )
+
+
+def _signature(msg: object, size: int = _TYPE_BYTES) -> tuple[int, bytes]:
+    """Return where and by which first bytes a message is recognized."""
+    return datagram.signature(polling.CODEC.encode(msg), size)
--- a/foxtailworks/datagram/__init__.py
+++ b/foxtailworks/datagram/__init__.py
@@ -15,6 +15,8 @@
 from foxtailworks.datagram._endpoint import open_endpoint
 from foxtailworks.datagram._fragments import Assembler
 from foxtailworks.datagram._fragments import FRAGMENT_BYTES
+from foxtailworks.datagram._fragments import message_number
+from foxtailworks.datagram._fragments import PartHandler
 from foxtailworks.datagram._fragments import signature
 from foxtailworks.datagram._fragments import split
 
@@ -22,6 +24,8 @@
     "FRAGMENT_BYTES",
     "Assembler",
     "Endpoint",
+    "PartHandler",
+    "message_number",
     "open_endpoint",
     "signature",
     "split",
--- a/foxtailworks/datagram/_endpoint.py
+++ b/foxtailworks/datagram/_endpoint.py
@@ -27,6 +27,7 @@
     :param codec: encodes and decodes the messages
     :param on_message: called for each message
     :param clock: monotonic seconds; limits the wait for missing fragments
+    :param on_part: called for each fragment of a message that has several
     """
 
     def __init__(
@@ -34,11 +35,12 @@
         codec: wire.Codec,
         on_message: MessageHandler,
         clock: abc.Callable[[], float],
+        on_part: _fragments.PartHandler | None = None,
     ) -> None:
         self._codec = codec
         self._on_message = on_message
         self._clock = clock
-        self._assembler = _fragments.Assembler()
+        self._assembler = _fragments.Assembler(on_part)
         self._message_numbers = itertools.count()
         self._socket: udp.Socket | None = None
         self.malformed = 0
@@ -97,12 +99,14 @@
     on_message: MessageHandler,
     clock: abc.Callable[[], float],
     bound: sockets.socket | None = None,
+    on_part: _fragments.PartHandler | None = None,
 ) -> abc.AsyncIterator[Endpoint]:
     """Bind an endpoint and close it when the block ends.
 
     :param bound: socket that was bound to ``address`` before
+    :param on_part: called for each fragment of a message that has several
     """
-    endpoint = Endpoint(codec, on_message, clock)
+    endpoint = Endpoint(codec, on_message, clock, on_part)
     async with udp.open_socket(
         address.ip, address.port, endpoint.receive, bound
     ) as socket:
--- a/foxtailworks/datagram/_fragments.py
+++ b/foxtailworks/datagram/_fragments.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 import struct
+import typing
 import zlib
 
 from foxtailworks import errors
@@ -17,7 +18,7 @@
 MAX_INCOMPLETE = 64
 """Most incomplete messages; a new one then replaces the oldest."""
 REASSEMBLY_TIMEOUT_S = 2.0
-"""Seconds after its first fragment when an incomplete message is dropped."""
+"""Seconds after its last fragment when an incomplete message is dropped."""
 _COMPRESSION = 1
 # zlib's fastest level suffices: configurations mainly repeat names.
 
@@ -66,16 +67,39 @@
 
     count: int
     """Number of fragments of the message."""
-    expires_at: float
+    expires_at: float = 0.0
     """Time after which it is dropped, in monotonic seconds."""
     parts: dict[int, bytes] = dataclasses.field(default_factory=dict)
     """Received fragments by index."""
 
 
+def message_number(datagram: bytes) -> int:
+    """Return the number of the message that a datagram is a part of."""
+    number: int = _HEADER.unpack_from(datagram)[0]
+    return number
+
+
+class PartHandler(typing.Protocol):
+    """Called with each received fragment of a message that has several."""
+
+    def __call__(
+        self, src: ids.Address, number: int, missing: abc.Set[int]
+    ) -> None:
+        """Handle one fragment.
+
+        :param number: number of the message among those of its sender
+        :param missing: indexes of the fragments that haven't arrived
+        """
+
+
 class Assembler:
-    """Reassembles messages from the fragments of many senders."""
+    """Reassembles messages from the fragments of many senders.
+
+    :param on_part: called with each fragment of a message that has several
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, on_part: PartHandler | None = None) -> None:
+        self._on_part = on_part
         self._incomplete: dict[tuple[ids.Address, int], _Incomplete] = {}
 
     def add(
@@ -112,9 +136,15 @@
         self._drop_expired(now)
         message = self._incomplete.get(key)
         if message is None or message.count != count:
-            message = _Incomplete(count, now + REASSEMBLY_TIMEOUT_S)
-            self._incomplete[key] = message
+            message = _Incomplete(count)
+        # Expires after others that have had no fragment for longer.
+        self._incomplete.pop(key, None)
+        self._incomplete[key] = message
+        message.expires_at = now + REASSEMBLY_TIMEOUT_S
         message.parts[index] = body
+        if self._on_part is not None:
+            missing = set(range(count)) - message.parts.keys()
+            self._on_part(*key, missing)
         if len(message.parts) < count:
             return None
         del self._incomplete[key]
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import functools
 import random
 
 from foxtailworks import datagram
@@ -70,11 +71,13 @@
         self._clock = clock
         self.roster = discovery.Roster()
         self.steering = steering.Steering(self.roster, cfg.zone, rng)
-        self._tables = steering.TableCodec()
+        self._tables = steering.TableDecoder()
+        self._needs_whole_table = False
         self._started_at = clock()
         self._schedule = polling.Schedule(
             cfg.host, cfg.seeds, rng, self._started_at
         )
+        self._transfers = polling.Transfers()
         self._endpoint: datagram.Endpoint | None = None
         self._carry_out = carry_out
         self._audit = _audit.Audit(describe)
@@ -128,23 +131,48 @@
         if not self._schedule.knows(src):
             self._stranger_messages += 1
             return
-        if isinstance(msg, polling.Notice):
-            self._on_notice(msg, src)
-            return
-        if not isinstance(msg, polling.PollAnswer):
-            _EVENTS.warning("message_unexpected", kind=type(msg).__name__)
+        _dispatch(msg, self, src)
+        self._request_parts(self._clock())
+
+    def on_part(
+        self, src: ids.Address, number: int, missing: abc.Set[int]
+    ) -> None:
+        """Record a part of a large answer and request further ones."""
+        if not self._schedule.knows(src):
             return
         now = self._clock()
+        self._schedule.on_part(src, now)
+        self._transfers.on_part(src, number, missing, now)
+        self._request_parts(now)
+
+    def _request_parts(self, now: float) -> None:
+        """Request the parts of a large answer that are due."""
+        assert self._endpoint is not None
+        for due in self._transfers.due(now):
+            msg = polling.PartRequest.of(due.number, due.indexes)
+            self._endpoint.send(msg, due.source)
+
+    def on_answer(self, msg: polling.PollAnswer, src: ids.Address) -> None:
+        """Apply the answer to a poll."""
+        now = self._clock()
+        self._transfers.on_answer(src, is_whole=True)
         self._record_answer(msg, src, now)
         if not self.roster.merge(src, msg.changes, now):
             _EVENTS.debug("changes_missed", coordinator=src)
             self._schedule.request_poll(src)
-        self.steering.suspicions.put_suspected(msg.suspected, now)
-        self._schedule.add(msg.coordinators, now)
         if msg.table and msg.revision > self.steering.revision:
             self._put_routes(msg, src)
 
-    def _on_notice(self, msg: polling.Notice, src: ids.Address) -> None:
+    def on_summary(self, msg: polling.Summary, src: ids.Address) -> None:
+        """Record that a coordinator has a large answer for this host."""
+        self._transfers.on_answer(src, is_whole=False)
+        self._record_answer(msg, src, self._clock())
+
+    def on_parts_gone(self, msg: polling.PartsGone, src: ids.Address) -> None:
+        """Ask anew for an answer that a coordinator no longer has."""
+        self._transfers.on_parts_gone(src, msg.number)
+
+    def on_notice(self, msg: polling.Notice, src: ids.Address) -> None:
         """Poll a coordinator that has something new."""
         has_changes = self.roster.position(src) != (
             msg.session,
@@ -166,6 +194,7 @@
             self._carry_out(due)
         self._audit.record(self.steering.events.take(), now)
         self.roster.on_tick(now)
+        self._request_parts(now)
         self._poll_if_due(now)
 
     def _poll_if_due(self, now: float) -> None:
@@ -177,12 +206,15 @@
         if self.steering.has_unknown_tokens:
             self.steering.has_unknown_tokens = False
             self._schedule.request_polls_of_followed(now)
+        deferred = self._transfers.take_deferred()
+        if deferred is not None:
+            self._schedule.request_poll(deferred)
         for due in self._schedule.due(now, self._need(now)):
             self._poll(due, now)
 
     def _need(self, now: float) -> polling.Need:
         """Return what this host needs from coordinators now."""
-        if not self.steering.revision:
+        if not self.steering.revision and not self._transfers.is_downloading:
             return polling.Need.ROUTES
         if self.steering.suspicions.local_suspects(now):
             return polling.Need.OPINION
@@ -196,9 +228,10 @@
             self._cfg.host,
             session,
             version,
-            self.steering.revision,
+            0 if self._needs_whole_table else self.steering.revision,
             self.steering.reportable_suspects(now),
             due.is_follower,
+            self._transfers.grant(due.address, due.is_responsive, now),
         )
         self._endpoint.send(msg, due.address)
 
@@ -208,7 +241,13 @@
             table = self._tables.decode(msg.table)
         except errors.FoxtailError as exc:
             _EVENTS.failed("routes_unreadable", exc)
+            self._needs_whole_table = True
+            return
+        if table is None:
+            # Changes to an earlier table: another answer has overtaken them.
+            self._schedule.request_poll(src)
             return
+        self._needs_whole_table = False
         if self.steering.put_routes(table):
             _EVENTS.info(
                 "routes_in_force",
@@ -218,9 +257,12 @@
             )
 
     def _record_answer(
-        self, msg: polling.PollAnswer, src: ids.Address, now: float
+        self,
+        msg: polling.PollAnswer | polling.Summary,
+        src: ids.Address,
+        now: float,
     ) -> None:
-        """Record an answer; clear suspicions after a partition.
+        """Record what each answer tells; clear suspicions after a partition.
 
         The first answer of a coordinator that was lost shows that a partition
         has healed, so suspected upstreams may answer again.
@@ -228,6 +270,34 @@
         if self._schedule.on_answer(src, msg.is_current, now):
             self.steering.suspicions.clear()
             _EVENTS.info("coordinator_regained", coordinator=src)
+        self.steering.suspicions.put_suspected(msg.suspected, now)
+        self._schedule.add(msg.coordinators, now)
+
+
+@functools.singledispatch
+def _dispatch(msg: object, host: Host, _src: ids.Address) -> None:
+    """Pass a message to the handler of its type."""
+    _EVENTS.warning("message_unexpected", kind=type(msg).__name__)
+
+
+@_dispatch.register
+def _(msg: polling.PollAnswer, host: Host, src: ids.Address) -> None:
+    host.on_answer(msg, src)
+
+
+@_dispatch.register
+def _(msg: polling.Summary, host: Host, src: ids.Address) -> None:
+    host.on_summary(msg, src)
+
+
+@_dispatch.register
+def _(msg: polling.PartsGone, host: Host, src: ids.Address) -> None:
+    host.on_parts_gone(msg, src)
+
+
+@_dispatch.register
+def _(msg: polling.Notice, host: Host, src: ids.Address) -> None:
+    host.on_notice(msg, src)
 
 
 @contextlib.asynccontextmanager
@@ -245,7 +315,11 @@
     """
     host = Host(cfg, clock, rng, carry_out, describe)
     async with datagram.open_endpoint(
-        cfg.peer_address, polling.CODEC, host.receive, clock
+        cfg.peer_address,
+        polling.CODEC,
+        host.receive,
+        clock,
+        on_part=host.on_part,
     ) as endpoint:
         host.attach(endpoint)
         async with service.run_periodically(host.on_tick, TICK_S, clock, stop):
--- a/foxtailworks/polling/__init__.py
+++ b/foxtailworks/polling/__init__.py
@@ -13,28 +13,50 @@
     followers.on_poll(src, poll.is_follower, now)
     for address in followers.to_notify((version, revision), now):
         send(notice, address)
+
+A host receives a large answer part by part (:class:`Transfers`), and a
+coordinator keeps it until hosts have requested all parts
+(:class:`LargeAnswers`).
 """
 
 from foxtailworks.polling._followers import Followers
+from foxtailworks.polling._large_answers import LargeAnswers
+from foxtailworks.polling._messages import ALL_PARTS
 from foxtailworks.polling._messages import CODEC
 from foxtailworks.polling._messages import MESSAGES
 from foxtailworks.polling._messages import Notice
+from foxtailworks.polling._messages import PartRequest
+from foxtailworks.polling._messages import PartsGone
 from foxtailworks.polling._messages import Poll
 from foxtailworks.polling._messages import PollAnswer
+from foxtailworks.polling._messages import Summary
 from foxtailworks.polling._schedule import DuePoll
 from foxtailworks.polling._schedule import LOST_S
 from foxtailworks.polling._schedule import Need
 from foxtailworks.polling._schedule import Schedule
+from foxtailworks.polling._transfers import FIRST_PARTS
+from foxtailworks.polling._transfers import MAX_OUTSTANDING
+from foxtailworks.polling._transfers import MissingParts
+from foxtailworks.polling._transfers import Transfers
 
 __all__ = [
+    "ALL_PARTS",
     "CODEC",
+    "FIRST_PARTS",
     "LOST_S",
+    "MAX_OUTSTANDING",
     "MESSAGES",
     "DuePoll",
     "Followers",
+    "LargeAnswers",
+    "MissingParts",
     "Need",
     "Notice",
+    "PartRequest",
+    "PartsGone",
     "Poll",
     "PollAnswer",
     "Schedule",
+    "Summary",
+    "Transfers",
 ]
--- a/foxtailworks/polling/_messages.py
+++ b/foxtailworks/polling/_messages.py
@@ -1,12 +1,20 @@
 """Polls of edge hosts, and the answers and notices of coordinators."""
 
 import dataclasses
+import typing
 
 from foxtailworks import discovery
 from foxtailworks import ids
 from foxtailworks import wire
 
 
+ALL_PARTS = 512
+"""Number of parts that stands for all of an answer."""
+MAX_REQUESTED_PARTS = 64
+"""Maximum number of parts in one request."""
+_INDEX_BYTES = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Poll:
     """Request of an edge host for changed instances and routes."""
@@ -23,6 +31,10 @@
     """Instances that the host suspects."""
     is_follower: bool = False
     """Whether the host wants notices of changes until its next poll."""
+    max_parts: int = ALL_PARTS
+    """Datagrams of a large answer that may be sent at once. A host that sets
+    it requests the others and understands changes of a table; one of the
+    last release doesn't. The last field, so that ``warmstart`` finds it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,7 +46,8 @@
     revision: int
     """Latest committed revision that this coordinator has."""
     table: bytes
-    """Encoded routes; empty when the host already has them."""
+    """Encoded routes, or changes to those of the host's revision; empty when
+    the host already has them."""
     coordinators: tuple[ids.Address, ...]
     """Addresses of all coordinators known to this one."""
     suspected: tuple[tuple[discovery.InstanceId, ids.Incarnation], ...] = ()
@@ -55,6 +68,64 @@
     """Latest committed revision of the routes."""
 
 
-MESSAGES: dict[int, type] = {4: Poll, 5: PollAnswer, 6: Notice}
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """Answer to a poll that grants no part of a large answer."""
+
+    session: int
+    """Session of the registry."""
+    registry_version: int
+    """Latest version of the registry."""
+    revision: int
+    """Latest committed revision that this coordinator has."""
+    coordinators: tuple[ids.Address, ...]
+    """Addresses of all coordinators known to this one."""
+    suspected: tuple[tuple[discovery.InstanceId, ids.Incarnation], ...]
+    """Instances that several hosts suspect."""
+    is_current: bool
+    """Whether this coordinator knows a leader, so that it isn't behind."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartRequest:
+    """Request of an edge host for parts of a large answer."""
+
+    number: int
+    """Number of the message that carries the answer."""
+    indexes: bytes
+    """Positions of the parts, two bytes each, big-endian. The last field, so
+    that ``warmstart`` finds it."""
+
+    @classmethod
+    def of(cls, number: int, indexes: typing.Iterable[int]) -> "PartRequest":
+        """Return a request for the parts at ``indexes``."""
+        packed = (item.to_bytes(_INDEX_BYTES, "big") for item in indexes)
+        return cls(number, b"".join(packed))
+
+    def positions(self) -> tuple[int, ...]:
+        """Return the positions of the requested parts."""
+        starts = range(0, len(self.indexes), _INDEX_BYTES)
+        return tuple(
+            int.from_bytes(self.indexes[start : start + _INDEX_BYTES], "big")
+            for start in starts
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartsGone:
+    """Tells a host that a coordinator no longer has a large answer."""
+
+    number: int
+    """Number of the message that carried the answer."""
+
+
+MESSAGES: dict[int, type] = {
+    4: Poll,
+    5: PollAnswer,
+    6: Notice,
+    7: Summary,
+    8: PartRequest,
+    9: PartsGone,
+}
 
 CODEC = wire.Codec(MESSAGES, limit=4 << 20)
--- a/foxtailworks/polling/_schedule.py
+++ b/foxtailworks/polling/_schedule.py
@@ -66,6 +66,8 @@
     """Address to send the poll to."""
     is_follower: bool
     """Whether the host follows this coordinator."""
+    is_responsive: bool
+    """Whether it has answered the last poll, if there was one."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -146,6 +148,13 @@
         contact.is_current = is_current
         return was_lost
 
+    def on_part(self, address: ids.Address, now: float) -> None:
+        """Record a part of an answer, whose rest is on its way."""
+        contact = self._contacts.get(address)
+        if contact is not None:
+            contact.answered_at = now
+            contact.unanswered_since = None
+
     def knows(self, address: ids.Address) -> bool:
         """Return whether an address is one of a coordinator."""
         return address in self._contacts
@@ -183,9 +192,10 @@
             jitter = 1 - _JITTER * self._rng.random()
             contact.polled_at = now
             contact.next_poll_at = now + longest_s * jitter
-            if contact.unanswered_since is None:
+            is_responsive = contact.unanswered_since is None
+            if is_responsive:
                 contact.unanswered_since = now
-            due.append(DuePoll(address, is_followed))
+            due.append(DuePoll(address, is_followed, is_responsive))
         return tuple(due)
 
     def _poll_time(
--- a/foxtailworks/steering/__init__.py
+++ b/foxtailworks/steering/__init__.py
@@ -36,7 +36,8 @@
 from foxtailworks.steering._steering import DueSyn
 from foxtailworks.steering._steering import Packet
 from foxtailworks.steering._steering import Steering
-from foxtailworks.steering._tables import TableCodec
+from foxtailworks.steering._tables import TableDecoder
+from foxtailworks.steering._tables import TableEncoder
 from foxtailworks.steering._tokens import Token
 from foxtailworks.steering._tokens import token_of
 from foxtailworks.steering._tokens import TokenIndex
@@ -65,7 +66,8 @@
     "Share",
     "Steering",
     "Syn",
-    "TableCodec",
+    "TableDecoder",
+    "TableEncoder",
     "Token",
     "TokenIndex",
     "Unanswered",
--- a/foxtailworks/warmstart/__init__.py
+++ b/foxtailworks/warmstart/__init__.py
@@ -15,9 +15,11 @@
 from foxtailworks.warmstart._imports import COORDINATOR_MODULES
 from foxtailworks.warmstart._imports import import_modules
 from foxtailworks.warmstart._reply import FILE_NAME
+from foxtailworks.warmstart._reply import granted_parts
 from foxtailworks.warmstart._reply import load
 from foxtailworks.warmstart._reply import pack
 from foxtailworks.warmstart._reply import Reply
+from foxtailworks.warmstart._reply import requested_parts
 from foxtailworks.warmstart._reply import split
 from foxtailworks.warmstart._responder import bind
 from foxtailworks.warmstart._responder import BUFFER_BYTES
@@ -31,9 +33,11 @@
     "Reply",
     "Responder",
     "bind",
+    "granted_parts",
     "import_modules",
     "load",
     "pack",
     "peek",
+    "requested_parts",
     "split",
 ]
--- a/foxtailworks/warmstart/_responder.py
+++ b/foxtailworks/warmstart/_responder.py
@@ -33,7 +33,8 @@
     """Answers requests with a saved reply until the program takes over.
 
     :param bound: socket that receives the requests
-    :param reply: None keeps all datagrams for the program
+    :param reply: sent to peers that poll; None keeps all datagrams for the
+        program
     """
 
     def __init__(
@@ -44,24 +45,57 @@
         self._reply = reply
         self._unanswered: list[tuple[bytes, Peer]] = []
 
+    @property
+    def reply_datagrams(self) -> tuple[bytes, ...]:
+        """Datagrams of the saved reply; empty without one."""
+        return self._reply.datagrams if self._reply else ()
+
     def answer_waiting(self) -> None:
-        """Answer the requests that wait in the socket, once for each peer."""
-        answered: set[Peer] = set()
+        """Answer the requests that wait in the socket.
+
+        Of the polls of a peer the one that grants most is answered.
+        """
+        granted: dict[Peer, int] = {}
         while True:
             try:
                 data, peer = self.socket.recvfrom(_READ_BYTES)
             except OSError:
                 # Nothing waits, or an earlier datagram couldn't be delivered.
-                return
-            if self._reply is None or not _reply.answers(self._reply, data):
-                if len(self._unanswered) < MAX_UNANSWERED:
-                    self._unanswered.append((data, peer))
-            elif peer not in answered:
-                answered.add(peer)
-                self._send(self._reply.datagrams, peer)
+                break
+            parts = self._granted_parts(data)
+            if parts is not None:
+                granted[peer] = max(parts, granted.get(peer, 0))
+            else:
+                self._answer_request(data, peer)
+        for peer, count in granted.items():
+            self._answer_poll(peer, count)
+
+    def _granted_parts(self, data: bytes) -> int | None:
+        """Return how many parts a poll grants; None for other datagrams."""
+        if self._reply is None:
+            return None
+        return _reply.granted_parts(self._reply, data)
+
+    def _answer_poll(self, peer: Peer, count: int) -> None:
+        """Send as many parts of the reply as a poll grants, or a summary."""
+        assert self._reply is not None
+        if count:
+            self._send(self._reply.datagrams[:count], peer)
+        else:
+            self._send(self._reply.summaries, peer)
+
+    def _answer_request(self, data: bytes, peer: Peer) -> None:
+        """Send requested parts; keep any other datagram."""
+        parts: tuple[bytes, ...] = ()
+        if self._reply is not None:
+            parts = _reply.requested_parts(self._reply, data)
+        if parts:
+            self._send(parts, peer)
+        elif len(self._unanswered) < MAX_UNANSWERED:
+            self._unanswered.append((data, peer))
 
     def _send(self, datagrams: tuple[bytes, ...], peer: Peer) -> None:
-        """Send a reply; a peer without one asks again."""
+        """Send datagrams; a peer without them asks again."""
         try:
             for item in datagrams:
                 self.socket.sendto(item, peer)
