Hold packets of open flows until their upstream is known

Hypothesis: held for up to a second, as SYNs are, they are served at once. Change: packets that wait for routes or for the instance of their token are held, 4,096 at most, and decided on when the roster changes.

--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -55,7 +55,7 @@
     """Edge host without sockets, driven by datagrams and ticks.
 
     :param clock: seconds that also pass while the process is stopped
-    :param carry_out: carries out the decisions on SYNs that had to wait
+    :param carry_out: carries out the decisions on packets that had to wait
     :param describe: returns a readable name of a flow
     """
 
@@ -64,7 +64,7 @@
         cfg: Settings,
         clock: abc.Callable[[], float],
         rng: random.Random,
-        carry_out: abc.Callable[[steering.DueSyn], None],
+        carry_out: abc.Callable[[steering.DuePacket], None],
         describe: _audit.Describe = bytes.hex,
     ) -> None:
         self._cfg = cfg
@@ -305,7 +305,7 @@
     cfg: Settings,
     clock: abc.Callable[[], float],
     rng: random.Random,
-    carry_out: abc.Callable[[steering.DueSyn], None],
+    carry_out: abc.Callable[[steering.DuePacket], None],
     describe: _audit.Describe,
     stop: asyncio.Event,
 ) -> abc.AsyncIterator[Host]:
--- a/foxtailworks/steering/__init__.py
+++ b/foxtailworks/steering/__init__.py
@@ -28,13 +28,13 @@
 from foxtailworks.steering._events import Unanswered
 from foxtailworks.steering._flows import FlowKey
 from foxtailworks.steering._flows import InstanceKey
+from foxtailworks.steering._held_packets import Packet
 from foxtailworks.steering._pending import Syn
 from foxtailworks.steering._routes import RequestKind
 from foxtailworks.steering._routes import Route
 from foxtailworks.steering._routes import RouteTable
 from foxtailworks.steering._routes import Share
-from foxtailworks.steering._steering import DueSyn
-from foxtailworks.steering._steering import Packet
+from foxtailworks.steering._steering import DuePacket
 from foxtailworks.steering._steering import Steering
 from foxtailworks.steering._tables import TableDecoder
 from foxtailworks.steering._tables import TableEncoder
@@ -48,7 +48,7 @@
     "Config",
     "Decision",
     "Drop",
-    "DueSyn",
+    "DuePacket",
     "Ended",
     "Ending",
     "Event",
--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -27,6 +27,11 @@
     """Delay with which a retransmission may arrive."""
     max_held_syns: int = 4096
     """Maximum number of SYNs held until routes arrive; more are dropped."""
+    max_held_packets: int = 4096
+    """Maximum number of packets of open flows that are held; older ones are
+    dropped."""
+    packet_hold_s: float = 1.0
+    """Time for which a packet is held until its upstream is known."""
     back_off_s: float = 0.25
     """First back-off, after one unanswered SYN; doubles up to
     ``max_back_off_s``. It is short, since the cause may be a lost packet or
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -11,6 +11,7 @@
 from foxtailworks.steering import _decisions
 from foxtailworks.steering import _events
 from foxtailworks.steering import _flows
+from foxtailworks.steering import _held_packets
 from foxtailworks.steering import _pending
 from foxtailworks.steering import _routes
 from foxtailworks.steering import _suspicion
@@ -21,24 +22,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Packet:
-    """A packet that a caller sent after its SYN."""
-
-    flow: _flows.FlowKey
-    """Flow that the packet belongs to."""
-    destination: ids.Address
-    """Address that the caller sent it to."""
-    token: _tokens.Token
-    """Token that the host which placed the SYN gave to the flow."""
-    has_ended: bool
-    """Whether this packet ends the caller's side of the flow."""
-    has_data: bool = True
-    """Whether it carries data of a request, besides an acknowledgement."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DueSyn:
-    """A SYN that had to wait, with the decision that was made on it."""
+class DuePacket:
+    """A packet that had to wait, with the decision that was made on it."""
 
     packet: bytes
     """The packet as it was received."""
@@ -70,6 +55,8 @@
         self.suspicions = _suspicion.SuspicionTracker(self._cfg)
         """Suspected upstreams, exchanged with other hosts."""
         self._pending = _pending.PendingSyns(self._cfg)
+        self._held = _held_packets.HeldPackets(self._cfg)
+        self._tried_version = -1
         self._chooser = _choice.Chooser(self._flows.load, zone, rng, self._cfg)
         self._routes: dict[ids.Address, _routes.Route] = {}
         self.revision = 0
@@ -101,9 +88,14 @@
             self._record_rejection(syn.flow, syn.destination, 0, decision)
         return decision
 
-    def forward(self, packet: Packet, now: float) -> _decisions.Decision:
-        """Route a packet after the SYN by its token alone."""
+    def forward(
+        self, packet: _held_packets.Packet, now: float
+    ) -> _decisions.Decision:
+        """Route a packet after the SYN by its token alone, or hold it."""
         decision = self._decide_packet(packet, now)
+        if _may_be_forwarded_later(decision):
+            expires_at = now + self._cfg.packet_hold_s
+            self._held.hold(packet, expires_at)
         if not isinstance(decision, _decisions.Forward):
             self._record_rejection(
                 packet.flow, packet.destination, packet.token, decision
@@ -146,7 +138,7 @@
         return self._place(syn, route, now)
 
     def _decide_packet(
-        self, packet: Packet, now: float
+        self, packet: _held_packets.Packet, now: float
     ) -> _decisions.Decision:
         """Decide whether a later packet is forwarded, dropped or reset."""
         if not self.revision:
@@ -163,24 +155,39 @@
         self._track(packet, known.instance.key, route, now)
         return _decisions.Forward(known.instance, packet.token)
 
-    def on_tick(self, now: float) -> abc.Iterator[DueSyn]:
+    def on_tick(self, now: float) -> abc.Iterator[DuePacket]:
         """Expire flows; yield the SYNs to place now."""
         for key, flow in self._flows.expire(now):
             self._record_expired(key, flow, now)
         yield from self._release(now)
+        yield from self._forward_held(now)
         for placed in self._pending.take_unanswered(now):
             yield from self._place_elsewhere(placed, now)
 
-    def _release(self, now: float) -> abc.Iterator[DueSyn]:
+    def _release(self, now: float) -> abc.Iterator[DuePacket]:
         """Place the SYNs that were held until routes arrived."""
         if not self.revision:
             return
         for syn in self._pending.release(now):
-            yield DueSyn(syn.packet, self.open(syn, now))
+            yield DuePacket(syn.packet, self.open(syn, now))
+
+    def _forward_held(self, now: float) -> abc.Iterator[DuePacket]:
+        """Forward the held packets whose upstream has become known."""
+        if not len(self._held) or not self.revision:
+            return
+        if self._roster.version == self._tried_version:
+            return
+        self._tried_version = self._roster.version
+        for expires_at, packet in self._held.take(now):
+            decision = self._decide_packet(packet, now)
+            if _may_be_forwarded_later(decision):
+                self._held.hold(packet, expires_at)
+            else:
+                yield DuePacket(packet.packet, decision)
 
     def _place_elsewhere(
         self, placed: _pending.PlacedSyn, now: float
-    ) -> abc.Iterator[DueSyn]:
+    ) -> abc.Iterator[DuePacket]:
         """Place an unanswered SYN on another upstream.
 
         The caller accepts the first answer, so a SYN that reaches two
@@ -212,7 +219,7 @@
             return
         untried = self._untried_upstreams(flow, route, now)
         if untried:
-            yield DueSyn(syn.packet, self._place(syn, route, now))
+            yield DuePacket(syn.packet, self._place(syn, route, now))
 
     def _place(
         self, syn: _pending.Syn, route: _routes.Route, now: float
@@ -268,7 +275,7 @@
 
     def _track(
         self,
-        packet: Packet,
+        packet: _held_packets.Packet,
         upstream: _flows.InstanceKey,
         route: _routes.Route,
         now: float,
@@ -365,3 +372,11 @@
         weights = [item.weight for item in route.shares]
         share = self._rng.choices(route.shares, weights)[0]
         return share.service
+
+
+def _may_be_forwarded_later(decision: _decisions.Decision) -> bool:
+    """Return whether a packet waits for routes or for its upstream."""
+    return isinstance(decision, _decisions.Drop) and decision.reason in (
+        _Reason.NOT_READY,
+        _Reason.UNKNOWN_TOKEN,
+    )
