Pass on what waited in order, within the host's share of the slots

Hypothesis: requests that can still be in time go first, and the others only as the host's share of the slots allows, known by the number of hosts that coordinators tell, also in the saved reply. Change: steering/_backlog orders what waited: in time, more urgent, oldest. A host adds to it no more than 1.5 flows for each slot of its share; new requests don't wait.

--- a/foxtailworks/coordinator/_edge_hosts.py
+++ b/foxtailworks/coordinator/_edge_hosts.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+from foxtailworks.coordinator import _host_count
 from foxtailworks.coordinator import _peers
 from foxtailworks.coordinator import _start_reply
 from foxtailworks.coordinator import _suspicions
@@ -34,6 +35,8 @@
     """Instances that several hosts suspect."""
     is_current: bool
     """Whether the coordinator knows a leader."""
+    host_count: int
+    """Number of edge hosts."""
 
 
 _AnswerKey: typing.TypeAlias = tuple[int, int | None]
@@ -66,6 +69,7 @@
         self._rng = rng
         self._suspicions = _suspicions.SuspicionTracker()
         self._followers = polling.Followers()
+        self._hosts = _host_count.HostCount()
         self._tables = steering.TableEncoder()
         self._large = polling.LargeAnswers()
         self._encode = encode
@@ -167,6 +171,7 @@
         """Record what a poll says; return the state that its answer tells."""
         self._suspicions.update(msg.host, msg.suspected, now)
         self._followers.on_poll(src, msg.is_follower, now)
+        self._hosts.on_poll(msg.host, now)
         self._update_routes(document)
         return _State(
             self._registry.version,
@@ -174,6 +179,7 @@
             self._peers.recent_addresses(now),
             self._suspicions.suspected(now),
             is_current,
+            self._hosts.count(now),
         )
 
     def _make_answer(
@@ -187,6 +193,7 @@
             state.coordinators,
             state.suspected,
             state.is_current,
+            state.host_count,
         )
 
     def _summary(self, state: _State) -> polling.Summary:
@@ -238,6 +245,7 @@
             self._tables.revision,
             self._tables.encode(),
             self._peers.recent_addresses(now),
+            self._hosts.count(now),
             self._rng,
         )
 
--- a/foxtailworks/coordinator/_start_reply.py
+++ b/foxtailworks/coordinator/_start_reply.py
@@ -26,18 +26,22 @@
     revision: int,
     table: bytes,
     coordinators: tuple[ids.Address, ...],
+    host_count: int,
     rng: random.Random,
 ) -> warmstart.Reply:
     """Return the reply to any poll of an edge host that has just started.
 
     :param live: instances that hold a lease now
     :param table: encoded routes of ``revision``, which is committed
+    :param host_count: number of edge hosts that polled before
     :param rng: draws a session, so that a host polls for everything again
         once the coordinator runs
     """
     listed = tuple(discovery.ListedInstance(item, True) for item in live)
     changes = discovery.Changes(rng.getrandbits(62), 0, 1, listed)
-    answer = polling.PollAnswer(changes, revision, table, coordinators)
+    answer = polling.PollAnswer(
+        changes, revision, table, coordinators, (), True, host_count
+    )
     # The numbers of the messages differ from those of the endpoint, which
     # counts from 0, so that fragments of both aren't mixed.
     number = rng.getrandbits(_NUMBER_BITS) | 1 << _NUMBER_BITS - 1
--- a/foxtailworks/coordinator/tests/test_start_reply.py
+++ b/foxtailworks/coordinator/tests/test_start_reply.py
@@ -42,6 +42,7 @@
         7,
         encoded.encode(make_table()),
         (COORDINATOR,),
+        9,
         random.Random(seed),
     )
 
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -160,6 +160,8 @@
         if not self.roster.merge(src, msg.changes, now):
             _EVENTS.debug("changes_missed", coordinator=src)
             self._schedule.request_poll(src)
+        if msg.host_count:
+            self.steering.host_count = msg.host_count
         if msg.table and msg.revision > self.steering.revision:
             self._put_routes(msg, src)
 
--- a/foxtailworks/polling/_messages.py
+++ b/foxtailworks/polling/_messages.py
@@ -54,6 +54,8 @@
     """Instances that several hosts suspect."""
     is_current: bool = True
     """Whether this coordinator knows a leader, so that it isn't behind."""
+    host_count: int = 0
+    """Number of edge hosts that poll this coordinator; 0 if it isn't known."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -32,6 +32,9 @@
     dropped."""
     packet_hold_s: float = 1.0
     """Time for which a packet is held until its upstream is known."""
+    backlog_load: float = 1.5
+    """Load, in flows per slot of this host's share, up to which requests that
+    waited are passed on."""
     back_off_s: float = 0.25
     """First back-off, after one unanswered SYN; doubles up to
     ``max_back_off_s``. It is short, since the cause may be a lost packet or
--- a/foxtailworks/steering/_decisions.py
+++ b/foxtailworks/steering/_decisions.py
@@ -20,6 +20,8 @@
     """The upstream of the flow has left or was replaced."""
     NOT_READY = "not_ready"
     """This host hasn't received any routes yet."""
+    WAITING = "waiting"
+    """An earlier packet of the flow waits for room."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailworks/steering/_pending.py
+++ b/foxtailworks/steering/_pending.py
@@ -23,6 +23,18 @@
     """The packet as it was received, to be forwarded when it is placed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldSyn:
+    """A SYN that can't be placed yet."""
+
+    syn: Syn
+    """The SYN as it was received."""
+    sent_at: float
+    """Time when the caller sent it first, monotonic seconds."""
+    expires_at: float
+    """Time at which the caller's next retransmission is due."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacedSyn:
     """A SYN that was sent to an upstream and may be unanswered."""
@@ -40,7 +52,7 @@
 
     def __init__(self, config: _config.Config) -> None:
         self._cfg = config
-        self._held: dict[_flows.FlowKey, tuple[float, Syn]] = {}
+        self._held: dict[_flows.FlowKey, HeldSyn] = {}
         self._placed: collections.deque[tuple[float, PlacedSyn]]
         self._placed = collections.deque()
         self._mean_answer_s = (
@@ -59,24 +71,25 @@
             self._held = {
                 flow: item
                 for flow, item in self._held.items()
-                if now < item[0]
+                if now < item.expires_at
             }
             if len(self._held) >= self._cfg.max_held_syns:
                 return False
+        self._held[syn.flow] = self.as_held(syn, now)
+        return True
+
+    def as_held(self, syn: Syn, now: float) -> HeldSyn:
+        """Return a SYN with the times that its caller follows."""
         index = min(syn.retransmission, len(self._cfg.retransmissions_s) - 1)
         sent_s = (0.0, *self._cfg.retransmissions_s)[index]
-        wait_s = (
-            self._cfg.retransmissions_s[index]
-            - sent_s
-            + self._cfg.retransmission_slack_s
-        )
-        self._held[syn.flow] = (now + wait_s, syn)
-        return True
+        next_s = self._cfg.retransmissions_s[index]
+        slack_s = self._cfg.retransmission_slack_s
+        return HeldSyn(syn, now - sent_s, now + next_s - sent_s + slack_s)
 
-    def release(self, now: float) -> abc.Iterator[Syn]:
+    def release(self, now: float) -> abc.Iterator[HeldSyn]:
         """Yield the held SYNs that haven't expired, and clear the table."""
         held, self._held = self._held, {}
-        return (item for until, item in held.values() if now < until)
+        return (item for item in held.values() if now < item.expires_at)
 
     def on_placed(
         self, syn: Syn, upstream: _flows.InstanceKey, now: float
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -6,6 +6,7 @@
 
 from foxtailworks import discovery
 from foxtailworks import ids
+from foxtailworks.steering import _backlog
 from foxtailworks.steering import _choice
 from foxtailworks.steering import _config
 from foxtailworks.steering import _decisions
@@ -57,6 +58,9 @@
         self._pending = _pending.PendingSyns(self._cfg)
         self._held = _held_packets.HeldPackets(self._cfg)
         self._tried_version = -1
+        self._backlog = _backlog.Backlog()
+        self.host_count = 0
+        """Number of edge hosts; 0 while it isn't known."""
         self._chooser = _choice.Chooser(self._flows.load, zone, rng, self._cfg)
         self._routes: dict[ids.Address, _routes.Route] = {}
         self.revision = 0
@@ -135,6 +139,12 @@
             if syn.retransmission == 0:
                 return _decisions.Drop(_Reason.NO_ROUTE)
             return _decisions.Reset(_Reason.NO_ROUTE)
+        if syn.flow in self._backlog:
+            held = self._pending.as_held(syn, now)
+            self._backlog.put(
+                _backlog.Waiting(syn, held.sent_at, held.expires_at)
+            )
+            return _decisions.Drop(_Reason.WAITING)
         return self._place(syn, route, now)
 
     def _decide_packet(
@@ -160,30 +170,74 @@
         for key, flow in self._flows.expire(now):
             self._record_expired(key, flow, now)
         yield from self._release(now)
-        yield from self._forward_held(now)
         for placed in self._pending.take_unanswered(now):
             yield from self._place_elsewhere(placed, now)
 
     def _release(self, now: float) -> abc.Iterator[DuePacket]:
-        """Place the SYNs that were held until routes arrived."""
+        """Pass on the packets that were held, as far as there is room."""
         if not self.revision:
             return
-        for syn in self._pending.release(now):
-            yield DuePacket(syn.packet, self.open(syn, now))
-
-    def _forward_held(self, now: float) -> abc.Iterator[DuePacket]:
-        """Forward the held packets whose upstream has become known."""
-        if not len(self._held) or not self.revision:
+        for held in self._pending.release(now):
+            self._backlog.put(
+                _backlog.Waiting(held.syn, held.sent_at, held.expires_at)
+            )
+        self._move_known_packets(now)
+        if not self._backlog:
             return
-        if self._roster.version == self._tried_version:
+        room: dict[ids.ServiceId, float] = {}
+        due = self._backlog.take(
+            self._routes.get,
+            lambda item: self._takes_room(item, room, now),
+            now,
+        )
+        for waiting in due:
+            item = waiting.item
+            if isinstance(item, _pending.Syn):
+                yield DuePacket(item.packet, self.open(item, now))
+            else:
+                yield DuePacket(item.packet, self._decide_packet(item, now))
+
+    def _move_known_packets(self, now: float) -> None:
+        """Move held packets whose upstream is known to the backlog."""
+        if not len(self._held) or self._roster.version == self._tried_version:
             return
         self._tried_version = self._roster.version
         for expires_at, packet in self._held.take(now):
-            decision = self._decide_packet(packet, now)
-            if _may_be_forwarded_later(decision):
+            has_route = packet.destination in self._routes
+            if has_route and self._tokens.find(packet.token) is None:
                 self._held.hold(packet, expires_at)
-            else:
-                yield DuePacket(packet.packet, decision)
+                continue
+            sent_at = expires_at - self._cfg.packet_hold_s
+            self._backlog.put(_backlog.Waiting(packet, sent_at, expires_at))
+
+    def _takes_room(
+        self,
+        item: _backlog.Item,
+        room: dict[ids.ServiceId, float],
+        now: float,
+    ) -> bool:
+        """Take room for a packet from this host's share of the slots.
+
+        :param room: flows that may be added to each service in this tick
+        """
+        route = self._routes.get(item.destination)
+        if route is None or not self.host_count:
+            return True
+        service = route.shares[0].service
+        if service not in room:
+            room[service] = self._room(service, now)
+        if room[service] <= 0:
+            return False
+        room[service] -= 1
+        return True
+
+    def _room(self, service: ids.ServiceId, now: float) -> float:
+        """Return how many flows this host may add to a service."""
+        instances = [i.instance for i in self._roster.of_service(service, now)]
+        slots = sum(item.slots for item in instances)
+        load = sum(self._flows.load(item.key) for item in instances)
+        share = self._cfg.backlog_load * slots / self.host_count
+        return max(1.0, share) - load
 
     def _place_elsewhere(
         self, placed: _pending.PlacedSyn, now: float
