--- a/foxtailworks/warmstart/tests/test_warmstart.py
+++ b/foxtailworks/warmstart/tests/test_warmstart.py
@@ -1,6 +1,7 @@
 """Tests of saved replies and of sockets that are bound early."""
 
 import socket
+import sys
 
 import hypothesis
 from hypothesis import strategies as st
@@ -138,3 +139,21 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
         taken.bind((IP, 0))
         assert warmstart.bind(IP, taken.getsockname()[1]) is None
+
+
+def test_requests_are_answered_while_a_package_imports_others(tmp_path):
+    folder = tmp_path / "fw_slow"
+    folder.mkdir()
+    (folder / "__init__.py").write_text("from fw_slow import one, two\n")
+    for name in ("one", "two"):
+        (folder / f"{name}.py").write_text("")
+    sys.path.insert(0, str(tmp_path))
+    calls = []
+    before = list(sys.meta_path)
+    try:
+        warmstart.import_modules(("fw_slow",), lambda: calls.append(1))
+    finally:
+        sys.path.remove(str(tmp_path))
+    # Before the package and its two modules, and once at the end.
+    assert len(calls) == 4
+    assert sys.meta_path == before
