Answer the requests under way when an HTTP server stops

Cause, found by looking for a fault that operators of similar systems met: a planned stop cancelled all connections at once, so that a configuration or heartbeat that had just been accepted was cut without an answer. Change: a stopping server closes idle connections, finishes the requests under way, and cancels what isn't done after a second.

--- a/foxtailworks/httpd/_server.py
+++ b/foxtailworks/httpd/_server.py
@@ -14,6 +14,8 @@
 
 BACKLOG = 256
 """Pending connections: enough for all upstreams to connect at once."""
+STOP_S = 1.0
+"""Time for which a stopping server waits for the requests under way."""
 READ_BYTES = 64 << 10
 """Most bytes read from a socket in one call."""
 USER_TIMEOUT_MS = 3000
@@ -97,6 +99,9 @@
         self._writer = writer
         self._handle = handle
         self._limits = limits
+        self._is_stopping = False
+        self.is_idle = False
+        """Whether it has had a response and awaits the next request."""
         self._conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
@@ -115,9 +120,14 @@
             if req is None:
                 return
             await self._write(await self._respond(req), req.method)
-            if self._conn.our_state is not h11.DONE:
+            if self._conn.our_state is not h11.DONE or self._is_stopping:
                 return
             self._conn.start_next_cycle()
+            self.is_idle = True
+
+    def stop(self) -> None:
+        """Close the connection after the response under way."""
+        self._is_stopping = True
 
     async def _respond(self, req: Request) -> Response:
         """Return the handler's response, or 500 if the handler raises."""
@@ -139,6 +149,7 @@
                     data = await self._reader.read(READ_BYTES)
                     self._conn.receive_data(data)
                 elif isinstance(event, h11.Request):
+                    self.is_idle = False
                     head = event
                 elif isinstance(event, h11.Data):
                     body += event.data
@@ -190,9 +201,13 @@
 async def serve(
     address: ids.Address, handle: Handler, limits: Limits | None = None
 ) -> abc.AsyncIterator[None]:
-    """Listen until the block ends, then cancel the requests under way."""
+    """Listen until the block ends, then finish the requests under way.
+
+    A connection without a request under way is closed at once, one that
+    isn't done after ``STOP_S`` is cancelled.
+    """
     effective = limits or Limits()
-    tasks: set[asyncio.Task[None]] = set()
+    tasks: dict[asyncio.Task[None], _Connection] = {}
 
     async def accept(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -203,14 +218,14 @@
             _EVENTS.warning("connection_refused", open=len(tasks))
             writer.transport.abort()
             return
-        tasks.add(task)
+        conn = tasks[task] = _Connection(reader, writer, handle, effective)
         try:
             _set_socket_options(writer)
-            await _Connection(reader, writer, handle, effective).run()
+            await conn.run()
         except (OSError, TimeoutError, asyncio.CancelledError) as exc:
             _EVENTS.debug("connection_ended", reason=repr(exc))
         finally:
-            tasks.discard(task)
+            del tasks[task]
             writer.close()
 
     server = await asyncio.start_server(
@@ -220,5 +235,17 @@
         yield
     finally:
         server.close()
-        for task in tuple(tasks):
+        await _finish(tasks)
+
+
+async def _finish(tasks: dict[asyncio.Task[None], _Connection]) -> None:
+    """Let connections finish the requests that they have accepted."""
+    for task, conn in tuple(tasks.items()):
+        conn.stop()
+        if conn.is_idle:
             task.cancel()
+    if tasks:
+        await asyncio.wait(tuple(tasks), timeout=STOP_S)
+    for task in tuple(tasks):
+        _EVENTS.warning("request_cut_by_stop")
+        task.cancel()
--- a/foxtailworks/httpd/tests/test_server.py
+++ b/foxtailworks/httpd/tests/test_server.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from foxtailworks import httpd
+from foxtailworks.httpd import _server
 from foxtailworks import ids
 
 
@@ -94,3 +95,62 @@
             return received
 
     assert uvloop.run(run()) == b""
+
+
+class Stopping:
+    """A server that is stopped while requests are under way."""
+
+    def __init__(self, answer_s):
+        self.answer_s = answer_s
+
+    async def handle(self, req):
+        await asyncio.sleep(self.answer_s)
+        return httpd.Response(200, req.path.encode())
+
+    def received_by(self, pieces):
+        """Return what a caller receives.
+
+        :param pieces: pairs of a delay and what the caller then sends; the
+            server is stopped after the second one
+        """
+        return uvloop.run(self.run(pieces))
+
+    async def run(self, pieces):
+        address = free_address()
+        async with httpd.serve(address, self.handle):
+            reader, writer = await asyncio.open_connection(
+                address.ip, address.port
+            )
+            for delay_s, data in pieces:
+                await asyncio.sleep(delay_s)
+                writer.write(data)
+            await asyncio.sleep(0.05)
+        received = await reader.read()
+        writer.close()
+        return received
+
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def test_a_request_under_way_is_answered_when_the_server_stops():
+    received = Stopping(0.2).received_by([(0.0, REQUEST)])
+    assert received.startswith(b"HTTP/1.1 200")
+    assert received.endswith(b"/a")
+
+
+def test_a_request_that_follows_another_is_answered_as_well():
+    stopping = Stopping(0.1)
+    received = stopping.received_by([(0.0, REQUEST), (0.2, REQUEST)])
+    assert received.count(b"HTTP/1.1 200") == 2
+
+
+def test_a_stopping_server_closes_idle_connections_at_once(monkeypatch):
+    monkeypatch.setattr(_server, "STOP_S", 60.0)
+    received = Stopping(0.0).received_by([(0.0, REQUEST)])
+    assert received.count(b"HTTP/1.1 200") == 1
+
+
+def test_a_stopping_server_waits_for_a_bounded_time(monkeypatch):
+    monkeypatch.setattr(_server, "STOP_S", 0.05)
+    assert Stopping(60.0).received_by([(0.0, REQUEST)]) == b""
