Don't pass on a held packet whose request has timed out

Change: a packet of an open flow that has waited for its route's timeout is dropped; a SYN isn't, since its caller shows by repeating it that it waits.

--- a/foxtailworks/steering/_backlog.py
+++ b/foxtailworks/steering/_backlog.py
@@ -67,18 +67,36 @@
         :param route_of: returns the route of a destination
         :param take_room: takes room for a packet; false if there is none
         """
-        alive = (i for i in self._waiting.values() if now < i.expires_at)
-        ordered = sorted(
-            alive, key=lambda i: _rank(i, route_of(i.item.destination), now)
+        routed = (
+            (waiting, route_of(waiting.item.destination))
+            for waiting in self._waiting.values()
         )
+        alive = (
+            pair for pair in routed if not _has_expired(pair[0], pair[1], now)
+        )
+        ordered = sorted(alive, key=lambda pair: _rank(pair[0], pair[1], now))
         self._waiting = {}
-        for waiting in ordered:
+        for waiting, _ in ordered:
             if take_room(waiting.item):
                 yield waiting
             else:
                 self._waiting[waiting.item.flow] = waiting
 
 
+def _has_expired(
+    waiting: Waiting, route: _routes.Route | None, now: float
+) -> bool:
+    """Return whether the caller repeats the packet or has timed out.
+
+    A caller that repeats a SYN shows by it that it still waits.
+    """
+    if now >= waiting.expires_at:
+        return True
+    if route is None or isinstance(waiting.item, _pending.Syn):
+        return False
+    return now - waiting.sent_at > route.timeout_ms / _MS_PER_S
+
+
 def _rank(
     waiting: Waiting, route: _routes.Route | None, now: float
 ) -> tuple[bool, int, float]:
--- a/foxtailworks/steering/tests/test_held_packets.py
+++ b/foxtailworks/steering/tests/test_held_packets.py
@@ -19,10 +19,10 @@
 FLOWS = 200
 
 
-def make_table(revision=1):
+def make_table(revision=1, timeout_ms=2500):
     share = steering.Share(ids.ServiceId("desk"), 1)
     kind = steering.RequestKind.IDEMPOTENT
-    route = steering.Route(DESTINATION, (share,), kind, 500, 100, 1)
+    route = steering.Route(DESTINATION, (share,), kind, timeout_ms, 100, 1)
     return steering.RouteTable(revision, (route,), 15_000)
 
 
@@ -40,8 +40,8 @@
             steering.Config(**changes),
         )
 
-    def learn_routes(self):
-        self.host.put_routes(make_table())
+    def learn_routes(self, **changes):
+        self.host.put_routes(make_table(**changes))
 
     def learn_instances(self, now):
         changes = self.registry.changes(*self.roster.position(PEER))
@@ -123,6 +123,16 @@
     assert returning.tick(1.2) == [b"2"]
 
 
+def test_a_request_past_its_timeout_is_not_passed_on():
+    # It would take a slot from those whose callers still wait.
+    returning = Returning()
+    returning.send(1, 0.0)
+    returning.send(2, 0.2)
+    returning.learn_routes(timeout_ms=300)
+    returning.learn_instances(0.4)
+    assert returning.tick(0.4) == [b"2"]
+
+
 def test_held_packets_are_bounded_and_the_newest_stay():
     returning = Returning(max_held_packets=3)
     for number in range(9):
