--- a/foxtailworks/coordinator/_hints.py
+++ b/foxtailworks/coordinator/_hints.py
@@ -31,6 +31,8 @@
     """Instances that were live."""
     document: revisions.StoredDocument = revisions.NO_DOCUMENT
     """A committed document: perhaps not the newest, never a rejected one."""
+    gone: tuple[discovery.Instance, ...] = ()
+    """Instances that have left; a late heartbeat must not bring them back."""
 
 
 _CODEC = wire.Codec({1: SavedHints}, limit=16 << 20)
@@ -82,9 +84,9 @@
         versions = (registry.version, document.revision)
         if now < self._next_save_at or versions == self._saved_versions:
             return
-        instances = tuple(i.instance for i in registry.listed() if i.is_live)
+        gone, instances = _by_presence(registry)
         data = warmstart.pack(make_reply(instances))
-        data += _CODEC.encode(SavedHints(instances, document))
+        data += _CODEC.encode(SavedHints(instances, document, gone))
         begun_at = self._clock()
         try:
             self._write(data)
@@ -109,3 +111,19 @@
             os.fsync(folder)
         finally:
             os.close(folder)
+
+
+def _by_presence(
+    registry: discovery.Registry,
+) -> tuple[tuple[discovery.Instance, ...], tuple[discovery.Instance, ...]]:
+    """Return the instances that have left, and the live ones that haven't."""
+    left = discovery.InstanceState.GONE
+    listed = tuple(registry.listed())
+    return (
+        tuple(i.instance for i in listed if i.instance.state is left),
+        tuple(
+            i.instance
+            for i in listed
+            if i.is_live and i.instance.state is not left
+        ),
+    )
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -93,7 +93,7 @@
         self._restored_document = revisions.NO_DOCUMENT
         if not cfg.is_first_start:
             saved = self._hints.load()
-            self.registry.restore(saved.instances, now)
+            self.registry.restore((*saved.gone, *saved.instances), now)
             self._restored_document = saved.document
 
     # Disk and node.
--- a/foxtailworks/coordinator/_start_reply.py
+++ b/foxtailworks/coordinator/_start_reply.py
@@ -43,7 +43,7 @@
         changes, revision, table, coordinators, (), True, host_count
     )
     # The numbers of the messages differ from those of the endpoint, which
-    # counts from 0, so that fragments of both aren't mixed.
+    # are below, so that fragments of both aren't mixed.
     number = rng.getrandbits(_NUMBER_BITS) | 1 << _NUMBER_BITS - 1
     datagrams = datagram.split(number, polling.CODEC.encode(answer))
     summary = polling.Summary(
--- a/foxtailworks/coordinator/tests/test_hints.py
+++ b/foxtailworks/coordinator/tests/test_hints.py
@@ -3,6 +3,7 @@
 import os
 import stat
 
+import cbor2
 import pytest
 
 from foxtailworks.coordinator import _hints
@@ -105,3 +106,42 @@
 
 def refuse(*_):
     raise OSError(28, "No space left on device")
+
+
+def test_an_instance_that_left_stays_gone_after_a_restart(saving):
+    saving.announce(1)
+    saving.announce(2)
+    saving.registry.withdraw(discovery.InstanceId("i-1"), saving.now)
+    saving.tick(1.0)
+    saved = _hints.Hints(saving.folder, lambda: 0.0).load()
+    restarted = discovery.Registry(6, 30.0)
+    restarted.restore((*saved.gone, *saved.instances), 50.0)
+    # Delayed by a partition: sent before the instance left.
+    address = ids.Address("10.0.0.9", 1)
+    restarted.announce(making.instance("i-1", address=address), 50.5)
+    states = {
+        item.instance.instance: item.instance.state
+        for item in restarted.listed()
+    }
+    assert states == {
+        "i-1": discovery.InstanceState.GONE,
+        "i-2": discovery.InstanceState.READY,
+    }
+
+
+def test_hints_of_the_last_release_are_read():
+    _, fields = cbor2.loads(_hints._CODEC.encode(_hints.SavedHints()))
+    data = cbor2.dumps([1, fields[:-1]])
+    assert _hints._CODEC.decode(data) == _hints.SavedHints()
+
+
+def test_hints_cut_short_anywhere_are_all_or_nothing(saving):
+    for number in range(1, 6):
+        saving.announce(number)
+    saving.tick(1.0)
+    path = saving.folder / warmstart.FILE_NAME
+    data = path.read_bytes()
+    for size in range(len(data)):
+        path.write_bytes(data[:size])
+        loaded = _hints.Hints(saving.folder, lambda: 0.0).load()
+        assert loaded == _hints.SavedHints()
--- a/foxtailworks/datagram/_endpoint.py
+++ b/foxtailworks/datagram/_endpoint.py
@@ -3,6 +3,7 @@
 from collections import abc
 import contextlib
 import itertools
+import secrets
 import socket as sockets
 import typing
 
@@ -18,6 +19,9 @@
 ]
 """Called with each received message and the address of its sender."""
 
+NUMBERS = 1 << 31
+"""Numbers of messages; saved replies use those from here on."""
+
 _EVENTS = logs.Events("datagram")
 
 
@@ -28,6 +32,9 @@
     :param on_message: called for each message
     :param clock: monotonic seconds; limits the wait for missing fragments
     :param on_part: called for each fragment of a message that has several
+    :param first_number: number of the first message; it differs from start
+        to start, so that a peer doesn't take fragments of a message for
+        those of an earlier one, sent from the same address
     """
 
     def __init__(
@@ -36,12 +43,13 @@
         on_message: MessageHandler,
         clock: abc.Callable[[], float],
         on_part: _fragments.PartHandler | None = None,
+        first_number: int = 0,
     ) -> None:
         self._codec = codec
         self._on_message = on_message
         self._clock = clock
         self._assembler = _fragments.Assembler(on_part)
-        self._message_numbers = itertools.count()
+        self._message_numbers = itertools.count(first_number)
         self._socket: udp.Socket | None = None
         self.malformed = 0
         """Datagrams dropped because they could not be decoded."""
@@ -63,7 +71,8 @@
         :raises FoxtailError: ``MESSAGE_TOO_LARGE``
         """
         number = next(self._message_numbers)
-        return tuple(_fragments.split(number, self._codec.encode(msg)))
+        data = self._codec.encode(msg)
+        return tuple(_fragments.split(number % NUMBERS, data))
 
     def send_encoded(
         self, datagrams: abc.Iterable[bytes], target: ids.Address
@@ -106,7 +115,8 @@
     :param bound: socket that was bound to ``address`` before
     :param on_part: called for each fragment of a message that has several
     """
-    endpoint = Endpoint(codec, on_message, clock, on_part)
+    first_number = secrets.randbelow(NUMBERS)
+    endpoint = Endpoint(codec, on_message, clock, on_part, first_number)
     async with udp.open_socket(
         address.ip, address.port, endpoint.receive, bound
     ) as socket:
