--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -111,6 +111,22 @@
                 "Coordinators that answer.",
                 float(self.roster.answering_count(now)),
             ),
+            "parts_outstanding": (
+                "Parts of large answers granted or requested.",
+                float(self._transfers.outstanding),
+            ),
+            "parts_repeated": (
+                "Parts of large answers requested again.",
+                float(self._transfers.repeated_count),
+            ),
+            "answers_abandoned": (
+                "Large answers given up before all parts had come.",
+                float(self._transfers.abandoned_count),
+            ),
+            "waiting": (
+                "Packets that wait for their upstream or for room.",
+                float(self.steering.waiting_count),
+            ),
         }
         return _scrape.render(self._audit.metrics, gauges)
 
--- a/foxtailworks/edge/tests/test_host.py
+++ b/foxtailworks/edge/tests/test_host.py
@@ -239,3 +239,29 @@
     driven.host.receive(polling.Notice(1, 1, 9), stranger)
     assert driven.host.steering.revision == 0
     assert b"foxtail_strangers 2.0" in driven.host.metrics()
+
+
+def test_a_host_reports_what_waits_and_what_it_has_requested():
+    driven = DrivenHost()
+    driven.tick(0.0)
+    missing = frozenset(range(1, 30))
+    driven.host.on_part(SEED, 7, missing)
+    packet = steering.Packet(
+        steering.FlowKey(bytes(12)), DESTINATION, steering.Token(9), False
+    )
+    driven.host.steering.forward(packet, 0.0)
+    metrics = driven.host.metrics()
+    assert b"foxtail_waiting 1.0" in metrics
+    assert b"foxtail_answers_abandoned 0.0" in metrics
+    requests = [
+        msg for msg, _ in driven.port.sent if isinstance(msg, polling.Poll)
+    ]
+    assert requests[0].max_parts == polling.FIRST_PARTS
+    found = float(metrics.split(b"\nfoxtail_parts_outstanding ")[1].split()[0])
+    assert 0 < found <= polling.MAX_OUTSTANDING
+
+
+def test_parts_of_strangers_are_ignored():
+    driven = DrivenHost()
+    driven.host.on_part(OTHER, 7, frozenset({1}))
+    assert b"foxtail_parts_outstanding 0.0" in driven.host.metrics()
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -74,6 +74,11 @@
         """Number of flows in this host's table."""
         return len(self._flows)
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of packets that wait for their upstream or for room."""
+        return len(self._held) + len(self._backlog)
+
     def put_routes(self, table: _routes.RouteTable) -> bool:
         """Put a table in force.
 
