--- a/foxtailworks/polling/tests/test_messages.py
+++ b/foxtailworks/polling/tests/test_messages.py
@@ -8,7 +8,7 @@
 
 CHANGES = discovery.Registry(1, 3.0).changes(0, 0)
 POLL = polling.Poll(ids.HostId("e1"), 1, 2, 3, (), True)
-ANSWER = polling.PollAnswer(CHANGES, 3, b"", (), (), False)
+ANSWER = polling.PollAnswer(CHANGES, 3, b"", (), (), False, 9)
 
 
 def shortened(msg, count=1):
@@ -35,8 +35,14 @@
     assert found.revision == POLL.revision
 
 
-def test_a_coordinator_of_the_last_release_counts_as_current():
-    assert polling.CODEC.decode(shortened(ANSWER)).is_current
+def test_a_coordinator_of_the_last_release_tells_no_number_of_hosts():
+    found = polling.CODEC.decode(shortened(ANSWER))
+    assert found.host_count == 0
+    assert not found.is_current
+
+
+def test_a_coordinator_of_the_release_before_counts_as_current():
+    assert polling.CODEC.decode(shortened(ANSWER, 2)).is_current
 
 
 def test_fields_of_a_later_release_are_ignored():
