Split the host's share of slots from steering

Change: steering/_share; no change of behaviour. Measured: tests of steering, edge hosts and the recovery pass.

--- a/foxtailworks/coordinator/tests/test_recovery_at_size.py
+++ b/foxtailworks/coordinator/tests/test_recovery_at_size.py
@@ -32,6 +32,20 @@
     return net
 
 
+def kill_and_start(net, core, hosts, start_pause_s=0.0):
+    """Kill coordinators and edge hosts and start them again.
+
+    :param start_pause_s: pause between the starts of two coordinators
+    """
+    net.kill(core + hosts)
+    net.run(0.8)
+    for address in hosts:
+        net.start_edge(address)
+    for address in core:
+        net.restart_coordinator(address)
+        net.run(start_pause_s)
+
+
 def assert_recovers(net):
     """Check that all hosts get the newest routes and all comes to rest."""
     assert net.seconds_until(129) <= LIMIT_S
@@ -48,38 +62,21 @@
 def test_all_processes_are_killed(tmp_path, monkeypatch, seed):
     net = start(tmp_path, monkeypatch, seed)
     assert net.put(129)
-    net.kill(net.core + net.edge)
-    net.run(0.8)
-    for address in net.edge:
-        net.start_edge(address)
-    for address in net.core:
-        net.restart_coordinator(address)
+    kill_and_start(net, net.core, net.edge)
     assert_recovers(net)
 
 
 def test_coordinators_start_in_turn(tmp_path, monkeypatch):
     net = start(tmp_path, monkeypatch)
     assert net.put(129)
-    net.kill(net.core + net.edge)
-    net.run(0.8)
-    for address in net.edge:
-        net.start_edge(address)
-    for address in net.core:
-        net.restart_coordinator(address)
-        net.run(0.3)
+    kill_and_start(net, net.core, net.edge, start_pause_s=0.3)
     assert_recovers(net)
 
 
 def test_half_of_all_processes_are_killed(tmp_path, monkeypatch):
     net = start(tmp_path, monkeypatch)
     assert net.put(129)
-    killed = net.core[::2] + net.edge[::2]
-    net.kill(killed)
-    net.run(0.8)
-    for address in net.edge[::2]:
-        net.start_edge(address)
-    for address in net.core[::2]:
-        net.restart_coordinator(address)
+    kill_and_start(net, net.core[::2], net.edge[::2])
     assert_recovers(net)
 
 
@@ -100,13 +97,8 @@
 ):
     net = start(tmp_path, monkeypatch)
     assert net.put(129)
-    net.kill(net.core + net.edge)
-    net.run(0.8)
     net.loss_rate = 0.2
-    for address in net.edge:
-        net.start_edge(address)
-    for address in net.core:
-        net.restart_coordinator(address)
+    kill_and_start(net, net.core, net.edge)
     net.run(3.0)
     net.loss_rate = 0.0
     assert_recovers(net)
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -177,7 +177,7 @@
             _EVENTS.debug("changes_missed", coordinator=src)
             self._schedule.request_poll(src)
         if msg.host_count:
-            self.steering.host_count = msg.host_count
+            self.steering.share.host_count = msg.host_count
         if msg.table and msg.revision > self.steering.revision:
             self._put_routes(msg, src)
 
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -15,6 +15,7 @@
 from foxtailworks.steering import _held_packets
 from foxtailworks.steering import _pending
 from foxtailworks.steering import _routes
+from foxtailworks.steering import _share
 from foxtailworks.steering import _suspicion
 from foxtailworks.steering import _tokens
 
@@ -59,8 +60,8 @@
         self._held = _held_packets.HeldPackets(self._cfg)
         self._tried_version = -1
         self._backlog = _backlog.Backlog()
-        self.host_count = 0
-        """Number of edge hosts; 0 while it isn't known."""
+        self.share = _share.HostShare(roster, self._flows.load, self._cfg)
+        """Share of the slots that this host may fill with what waited."""
         self._chooser = _choice.Chooser(self._flows.load, zone, rng, self._cfg)
         self._routes: dict[ids.Address, _routes.Route] = {}
         self.revision = 0
@@ -189,11 +190,9 @@
         self._move_known_packets(now)
         if not self._backlog:
             return
-        room: dict[ids.ServiceId, float] = {}
+        room = _share.Room(self.share, now)
         due = self._backlog.take(
-            self._routes.get,
-            lambda item: self._takes_room(item, room, now),
-            now,
+            self._routes.get, lambda item: self._takes_room(item, room), now
         )
         for waiting in due:
             item = waiting.item
@@ -215,34 +214,10 @@
             sent_at = expires_at - self._cfg.packet_hold_s
             self._backlog.put(_backlog.Waiting(packet, sent_at, expires_at))
 
-    def _takes_room(
-        self,
-        item: _backlog.Item,
-        room: dict[ids.ServiceId, float],
-        now: float,
-    ) -> bool:
-        """Take room for a packet from this host's share of the slots.
-
-        :param room: flows that may be added to each service in this tick
-        """
+    def _takes_room(self, item: _backlog.Item, room: _share.Room) -> bool:
+        """Take room for a packet; one without a route needs none."""
         route = self._routes.get(item.destination)
-        if route is None or not self.host_count:
-            return True
-        service = route.shares[0].service
-        if service not in room:
-            room[service] = self._room(service, now)
-        if room[service] <= 0:
-            return False
-        room[service] -= 1
-        return True
-
-    def _room(self, service: ids.ServiceId, now: float) -> float:
-        """Return how many flows this host may add to a service."""
-        instances = [i.instance for i in self._roster.of_service(service, now)]
-        slots = sum(item.slots for item in instances)
-        load = sum(self._flows.load(item.key) for item in instances)
-        share = self._cfg.backlog_load * slots / self.host_count
-        return max(1.0, share) - load
+        return route is None or room.take(route.shares[0].service)
 
     def _place_elsewhere(
         self, placed: _pending.PlacedSyn, now: float
--- a/foxtailworks/steering/tests/test_backlog.py
+++ b/foxtailworks/steering/tests/test_backlog.py
@@ -64,7 +64,7 @@
             roster = discovery.Roster()
             roster.merge(PEER, self.registry.changes(0, 0), 0.0)
             host = steering.Steering(roster, ids.ZoneId("a"), self.rng)
-            host.host_count = host_count
+            host.share.host_count = host_count
             self.hosts.append(host)
         self.busy = collections.Counter()
         self.queues = collections.defaultdict(collections.deque)
