--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -9,8 +9,7 @@
 
     min_answer_timeout_s: float = 0.04
     """Minimum timeout for an answer to a SYN, after which it is placed on
-    another upstream: several round trips, and below the 200 ms after which
-    a caller retransmits."""
+    another upstream."""
     max_answer_timeout_s: float = 0.15
     """Maximum timeout for an answer, used while answers take long."""
     answer_timeout_factor: float = 4.0
@@ -37,40 +36,30 @@
     waited are passed on."""
     back_off_s: float = 0.25
     """First back-off, after one unanswered SYN; doubles up to
-    ``max_back_off_s``. It is short, since the cause may be a lost packet or
-    a change of the routers rather than the upstream."""
+    ``max_back_off_s``."""
     suspicion_valid_s: float = 0.4
-    """Time for which other hosts' suspicion of an upstream is valid; longer
-    than the interval between two polls."""
+    """Time for which other hosts' suspicion of an upstream is valid."""
     max_back_off_s: float = 2.0
-    """Longest back-off; a healed partition is noticed within it."""
+    """Longest back-off."""
     deprioritized_load: float = 0.7
     """Load, in flows per slot, added to a suspected or (on a retry) remote
-    upstream, for each level of suspicion. Others are preferred until their
-    load is higher by so much that an unanswered attempt costs less than
-    their queue."""
+    upstream, for each level of suspicion."""
     closed_flow_kept_s: float = 2.0
-    """Time for which a closed flow is kept, so that its last packets don't
-    count as an open flow."""
+    """Time for which a closed flow is kept in the table."""
     idle_flow_load: float = 0.05
-    """Load of a flow without a request under way, in flows: a caller that
-    keeps one open sends a request on it about once a second, which takes
-    some hundredths of a second."""
+    """Load of a flow without a request under way, in flows with one."""
     equal_load: float = 0.2
     """Difference in load, in flows per slot, up to which upstreams count as
-    equal, since hosts that all follow a small difference meet at one
-    upstream."""
+    equal."""
     answer_end_s: float = 0.1
     """Time after a caller's acknowledgement from which its flow counts as
-    idle: in a longer answer the next one comes sooner."""
+    idle."""
     opening_timeout_s: float = 1.5
-    """Time after which an unanswered SYN expires; callers time out after
-    1.4 s."""
+    """Time after which an unanswered SYN expires."""
     exit_grace_s: float = 1.0
-    """Time within which an upstream that has left ends. Its flows are reset
-    only afterwards, so that it may still end them itself."""
+    """Time within which an upstream that has left ends; its flows are reset
+    afterwards."""
     max_flows: int = 200_000
-    """Maximum number of flows in the table, which only serves the choice of an
-    upstream; routing doesn't need it."""
+    """Maximum number of flows in the table."""
     cold_load: float = 0.5
     """Load, in flows per slot, added to a cold upstream."""
