Keep all packets of a flow that wait; acknowledgements need no room

Cause, found while reading: in the backlog a later packet of a flow took the place of an earlier one, so that an acknowledgement could displace the data of a request, which its caller repeats after up to 1.6 s. Change: only a repetition of the same packet does, and packets without data, which begin no work, don't wait for room.

--- a/foxtailworks/steering/_backlog.py
+++ b/foxtailworks/steering/_backlog.py
@@ -12,7 +12,6 @@
 import typing
 
 from foxtailworks import ids
-from foxtailworks.steering import _flows
 from foxtailworks.steering import _held_packets
 from foxtailworks.steering import _pending
 from foxtailworks.steering import _routes
@@ -36,25 +35,26 @@
 
 
 class Backlog:
-    """What waited, by flow; a later packet of a flow replaces the earlier."""
+    """What waited; a repetition of a packet replaces the earlier one."""
 
     def __init__(self) -> None:
-        self._waiting: dict[_flows.FlowKey, Waiting] = {}
+        self._waiting: dict[bytes, Waiting] = {}
 
     def __len__(self) -> int:
         """Return the number of packets that wait."""
         return len(self._waiting)
 
     def __contains__(self, flow: object) -> bool:
-        """Return whether a packet of a flow waits."""
+        """Return whether a SYN of a flow waits."""
         return flow in self._waiting
 
     def put(self, waiting: Waiting) -> None:
-        """Add a packet, with the time of the flow's first one."""
-        old = self._waiting.pop(waiting.item.flow, None)
+        """Add a packet, with the time of the one that it repeats."""
+        key = _key(waiting.item)
+        old = self._waiting.pop(key, None)
         if old is not None and old.sent_at < waiting.sent_at:
             waiting = dataclasses.replace(waiting, sent_at=old.sent_at)
-        self._waiting[waiting.item.flow] = waiting
+        self._waiting[key] = waiting
 
     def take(
         self,
@@ -80,7 +80,17 @@
             if take_room(waiting.item):
                 yield waiting
             else:
-                self._waiting[waiting.item.flow] = waiting
+                self._waiting[_key(waiting.item)] = waiting
+
+
+def _key(item: Item) -> bytes:
+    """Return what a packet and its repetitions have in common.
+
+    Copies of a SYN differ; packets of an open flow are repeated as they are.
+    """
+    if isinstance(item, _pending.Syn):
+        return item.flow
+    return item.flow + item.packet
 
 
 def _has_expired(
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -215,9 +215,12 @@
             self._backlog.put(_backlog.Waiting(packet, sent_at, expires_at))
 
     def _takes_room(self, item: _backlog.Item, room: _share.Room) -> bool:
-        """Take room for a packet; one without a route needs none."""
+        """Take room for a packet that begins work at an upstream."""
         route = self._routes.get(item.destination)
-        return route is None or room.take(route.shares[0].service)
+        begins_work = isinstance(item, _pending.Syn) or item.has_data
+        if route is None or not begins_work:
+            return True
+        return room.take(route.shares[0].service)
 
     def _place_elsewhere(
         self, placed: _pending.PlacedSyn, now: float
--- a/foxtailworks/steering/tests/test_held_packets.py
+++ b/foxtailworks/steering/tests/test_held_packets.py
@@ -56,6 +56,13 @@
         )
         return isinstance(self.host.forward(packet, now), steering.Forward)
 
+    def send_part(self, flow, data, now, has_data=True):
+        token = steering.token_of(*making.instance().key)
+        packet = steering.Packet(
+            steering.FlowKey(flow), DESTINATION, token, False, has_data, data
+        )
+        self.host.forward(packet, now)
+
     def tick(self, now):
         return [
             due.packet
@@ -149,3 +156,28 @@
     (due,) = returning.host.on_tick(0.1)
     assert due.decision == steering.Reset(steering.Reason.NO_ROUTE)
     assert due.packet == b"1"
+
+
+def test_all_packets_of_a_flow_are_held_and_each_is_passed_on_once():
+    returning = Returning()
+    for data in (b"first", b"second", b"first"):
+        returning.send_part(bytes(12), data, 0.0)
+    returning.send_part(bytes(12), b"ack", 0.0, has_data=False)
+    returning.learn_routes()
+    returning.learn_instances(0.1)
+    passed = returning.tick(0.1)
+    assert sorted(passed) == [b"ack", b"first", b"second"]
+
+
+def test_an_acknowledgement_needs_no_room():
+    returning = Returning()
+    returning.host.share.host_count = 1000
+    for number in range(5):
+        data = b"%d" % number
+        returning.send_part(bytes(11) + data, data, 0.0, has_data=False)
+        returning.send_part(bytes(11) + data, b"data", 0.0)
+    returning.learn_routes()
+    returning.learn_instances(0.1)
+    assert returning.tick(0.1) == [b"%d" % number for number in range(5)]
+    # The flows count as idle soon after.
+    assert returning.tick(0.3) == [b"data"]
