--- a/foxtailworks/polling/_messages.py
+++ b/foxtailworks/polling/_messages.py
@@ -10,8 +10,6 @@
 
 ALL_PARTS = 512
 """Number of parts that stands for all of an answer."""
-MAX_REQUESTED_PARTS = 64
-"""Maximum number of parts in one request."""
 _INDEX_BYTES = 2
 
 
