--- a/foxtailworks/coordinator/tests/linked.py
+++ b/foxtailworks/coordinator/tests/linked.py
@@ -14,6 +14,7 @@
 import random
 
 from foxtailworks import coordinator
+from foxtailworks.coordinator.tests import rated_links
 from foxtailworks.coordinator.tests import world
 from foxtailworks import datagram
 from foxtailworks import discovery
@@ -31,10 +32,6 @@
 """Bytes a second of an edge host's link: 2 Mbit/s."""
 CORE_RATE = 21_250_000
 """Bytes a second of a coordinator's link: 170 Mbit/s."""
-MIN_QUEUE_S = 0.05
-"""Delay in a link's queue from which on datagrams are dropped at random."""
-MAX_QUEUE_S = 0.25
-"""Delay in a link's queue from which on all are dropped."""
 DELAY_S = 0.001
 HEARTBEAT_S = 1.2
 EDGE_TICK_S = 0.02
@@ -47,25 +44,6 @@
 LEASE_S = 4.6
 
 
-class Link:
-    """One direction of a machine's link."""
-
-    def __init__(self, rate, rng, is_policed):
-        self.rate = rate
-        self.rng = rng
-        self.is_policed = is_policed
-        self.free_at = 0.0
-
-    def take(self, size, now):
-        """Return when a datagram has passed; None when it is dropped."""
-        start = max(now, self.free_at)
-        excess_s = start - now - MIN_QUEUE_S
-        passes = excess_s <= (MAX_QUEUE_S - MIN_QUEUE_S) * self.rng.random()
-        if passes or self.is_policed:
-            self.free_at = start + size / self.rate
-        return self.free_at if passes else None
-
-
 class Socket:
     """The socket of one process."""
 
@@ -134,7 +112,9 @@
             self.at(HEARTBEAT_S * self.rng.random(), self._beat, number)
 
     def _links(self, rate, is_policed):
-        return tuple(Link(rate, self.rng, is_policed) for _ in range(2))
+        return tuple(
+            rated_links.Link(rate, self.rng, is_policed) for _ in range(2)
+        )
 
     # Virtual time.
 
