--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections import abc
 import contextlib
-import functools
 import random
 import uuid
 
 from foxtailworks import agreement
+from foxtailworks.coordinator import _dispatch
 from foxtailworks.coordinator import _documents
 from foxtailworks.coordinator import _edge_hosts
 from foxtailworks.coordinator import _group
@@ -229,7 +229,7 @@
 
     def receive(self, msg: object, src: ids.Address) -> None:
         """Handle one received message."""
-        _dispatch(msg, self, src)
+        _dispatch.dispatch(msg, self, src)
         self.process_events()
 
     def on_presence(self, msg: _messages.Presence) -> None:
@@ -240,6 +240,10 @@
             if heartbeats:
                 self._send(_messages.Heartbeats(heartbeats), msg.address)
 
+    def on_heartbeats(self, msg: _messages.Heartbeats) -> None:
+        """Record the heartbeats that another coordinator relays."""
+        self.registry.merge(msg.heartbeats, self._clock())
+
     def on_consensus_message(self, msg: _messages.ConsensusMessage) -> None:
         """Handle a consensus message if it is addressed to this identity."""
         if self.node is None or msg.dst != self.node.replica.keeper:
@@ -385,43 +389,6 @@
             self.process_events()
 
 
-@functools.singledispatch
-def _dispatch(msg: object, program: Coordinator, src: ids.Address) -> None:
-    """Pass a message to the handler of its type."""
-    _EVENTS.warning("message_unexpected", kind=type(msg).__name__)
-
-
-@_dispatch.register
-def _(msg: _messages.Presence, program: Coordinator, src: ids.Address) -> None:
-    program.on_presence(msg)
-
-
-@_dispatch.register
-def _(
-    msg: _messages.ConsensusMessage, program: Coordinator, src: ids.Address
-) -> None:
-    program.on_consensus_message(msg)
-
-
-@_dispatch.register
-def _(
-    msg: _messages.Heartbeats, program: Coordinator, src: ids.Address
-) -> None:
-    program.registry.merge(msg.heartbeats, program._clock())
-
-
-@_dispatch.register
-def _(msg: polling.Poll, program: Coordinator, src: ids.Address) -> None:
-    program.on_poll(msg, src)
-
-
-@_dispatch.register
-def _(
-    msg: polling.PartRequest, program: Coordinator, src: ids.Address
-) -> None:
-    program.on_part_request(msg, src)
-
-
 @contextlib.asynccontextmanager
 async def opened(
     cfg: _settings.Settings,
--- a/foxtailworks/edge/__init__.py
+++ b/foxtailworks/edge/__init__.py
@@ -11,6 +11,7 @@
 from foxtailworks.edge._host import Host
 from foxtailworks.edge._host import opened
 from foxtailworks.edge._host import Settings
+from foxtailworks.edge._ingress import Ingress
 from foxtailworks.edge._scrape import CONTENT_TYPE
 
-__all__ = ["CONTENT_TYPE", "Host", "Settings", "opened"]
+__all__ = ["CONTENT_TYPE", "Host", "Ingress", "Settings", "opened"]
--- a/foxtailworks/service/_service.py
+++ b/foxtailworks/service/_service.py
@@ -147,3 +147,15 @@
         _EVENTS.warning("settings_unseen", reason=exc.strerror)
         return None
     return status.st_mtime_ns, status.st_size, status.st_ino
+
+
+def warn_unknown(
+    what: str, names: abc.Iterable[str], known: abc.Set[str]
+) -> None:
+    """Log the names in a settings file that this release doesn't know.
+
+    :param what: what the names stand for
+    """
+    for name in names:
+        if name not in known:
+            _EVENTS.warning("setting_unknown", what=what, name=name)
