--- a/foxtailworks/requests/_store.py
+++ b/foxtailworks/requests/_store.py
@@ -6,6 +6,7 @@
 
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks.requests import _claim_rules
 from foxtailworks.requests import _fences
 from foxtailworks.requests import _groups
 from foxtailworks.requests import _hand_over
@@ -18,14 +19,6 @@
 _Verdict = _messages.Verdict
 
 
-def _placements(claim: _messages.Claim) -> set[_messages.Placement]:
-    """Return the placements that may run because of ``claim``."""
-    found = set(claim.unresolved)
-    if claim.upstream:
-        found.add(_messages.Placement(claim.claim, claim.upstream))
-    return found
-
-
 class ClaimStore:
     """Grants at most one claim on each key and stores outcomes.
 
@@ -54,7 +47,9 @@
         self._recovery = recovery
         self._records = _records.Records(max_records)
         self._fences = _fences.Fences()
-        self._epoch = groups.epoch
+        self._rules = _claim_rules.ClaimRules(
+            host, groups, recovery, self._records, self._fences
+        )
         self._incarnation = incarnation
         self._received = _hand_over.ReceivedHandOvers()
         self._hand_over_sender: _hand_over.HandOverSender | None = None
@@ -105,8 +100,9 @@
         for key in dict.fromkeys((*self._records, *fenced_attempts)):
             last = fenced_attempts.get(key, ())[-_messages.MAX_ATTEMPTS :]
             message = self._make_hand_over(now, key, last)
-            for host in self._other_members(key):
+            for host in self._rules.other_members(key):
                 parts.setdefault(host, []).append(message)
+        self._rules.stop_granting()
         self._hand_over_sender = _hand_over.HandOverSender(
             now, self._incarnation, parts
         )
@@ -135,7 +131,7 @@
         fenced_attempts = _hand_over.fenced_by_key(self._fences)
         return _saved_state.SavedState(
             self._host,
-            max(self._epoch, self._groups.epoch),
+            self._rules.latest_epoch(),
             tuple(
                 self._make_hand_over(now, key, fenced_attempts.get(key, ()))
                 for key in dict.fromkeys((*self._records, *fenced_attempts))
@@ -158,7 +154,7 @@
                 "the saved state belongs to another host",
                 of=saved_state.host,
             )
-        self._epoch = max(self._epoch, saved_state.epoch)
+        self._rules.raise_epoch(saved_state.epoch)
         _saved_state.restore(saved_state, self._records, self._fences, now)
 
     @_receive.register
@@ -167,7 +163,7 @@
     ) -> _messages.Message:
         """Grant a claim, or reply with the reason why not."""
         record = self._records.get(claim.key)
-        verdict = self._decide_claim(now, claim, record)
+        verdict = self._rules.decide_claim(now, claim, record)
         self.verdict_counts[verdict] += 1
         if verdict is _Verdict.GRANTED:
             self._grant(now, claim, record)
@@ -197,7 +193,7 @@
             record = None
         if not message.attempts:
             return None
-        verdict = self._decide_fence(now, message, record)
+        verdict = self._rules.fence(now, message, record)
         outcome = record.outcome if record else None
         return _messages.WithdrawReply(
             message.key, message.attempts, verdict, outcome
@@ -232,7 +228,7 @@
         if message.outcome is None and message.claim is None:
             self._received.add_key(sender, key, True)
             return
-        is_authoritative = self._is_authoritative(now, key)
+        is_authoritative = self._rules.is_authoritative(now, key)
         if message.outcome is None and not is_authoritative:
             return
         record = self._records.get_or_create(now, key, message.keep_ms)
@@ -290,68 +286,6 @@
         """Process the keys that another member has recorded."""
         self._recovery.on_page(sender, message)
 
-    def _decide_claim(
-        self,
-        now: float,
-        claim: _messages.Claim,
-        record: _records.Record | None,
-    ) -> _Verdict:
-        """Decide on a claim without changing any state."""
-        if self._is_stale(claim.epoch):
-            return _Verdict.STALE
-        if record is not None and record.outcome is not None:
-            return _Verdict.DONE
-        if record is not None and record.claim is not None:
-            return self._decide_conflict(claim, record.claim)
-        if self._fences.is_fenced(claim.attempt):
-            return _Verdict.FENCED
-        if self._fences.recently_refused(now, claim.key):
-            return _Verdict.FENCED
-        if not self._is_authoritative(now, claim.key):
-            return _Verdict.RECOVERING
-        if record is None and self._records.is_full:
-            return _Verdict.FULL
-        return _Verdict.GRANTED
-
-    def _decide_conflict(
-        self, claim: _messages.Claim, granted: _messages.Claim
-    ) -> _Verdict:
-        """Decide on a claim while another one is granted."""
-        if claim.claim == granted.claim:
-            return _Verdict.GRANTED
-        if granted.claim not in claim.replaces:
-            return _Verdict.CONFLICT
-        own = (claim.claimant, claim.incarnation)
-        if own == (granted.claimant, granted.incarnation):
-            if (
-                granted.claim in claim.proven_unstarted
-                or not granted.unresolved
-            ):
-                return _Verdict.GRANTED
-        if _placements(granted) <= set(claim.unresolved):
-            return _Verdict.GRANTED
-        return _Verdict.CONFLICT
-
-    def _decide_fence(
-        self,
-        now: float,
-        message: _messages.Withdraw,
-        record: _records.Record | None,
-    ) -> _Verdict:
-        """Fence attempts if this member is sure that the key didn't run."""
-        if self._is_stale(message.epoch):
-            return _Verdict.STALE
-        if record is not None:
-            return _Verdict.DONE if record.outcome else _Verdict.CONFLICT
-        if not self._is_authoritative(now, message.key):
-            return _Verdict.RECOVERING
-        refuse_for_s = message.refuse_for_ms / 1000
-        if self._fences.fence(
-            now, message.key, message.attempts, refuse_for_s
-        ):
-            return _Verdict.GRANTED
-        return _Verdict.FULL
-
     def _grant(
         self,
         now: float,
@@ -381,29 +315,6 @@
             key, record.claim, record.outcome, keep_ms, fenced_attempts
         )
 
-    def _other_members(self, key: ids.RequestKey) -> list[ids.HostId]:
-        """Return the members of the key's groups except this host."""
-        members = self._groups.members(key)
-        return [host for host in members if host != self._host]
-
-    def _is_stale(self, epoch: int) -> bool:
-        """Return whether ``epoch`` is older than the latest one seen."""
-        self._epoch = max(self._epoch, self._groups.epoch)
-        if epoch < self._epoch:
-            return True
-        self._epoch = epoch
-        return False
-
-    def _is_authoritative(self, now: float, key: ids.RequestKey) -> bool:
-        """Return whether this member can decide on ``key``."""
-        if self._hand_over_sender is not None:
-            return False
-        if self._recovery.is_complete(now):
-            return True
-        return self._recovery.is_authoritative(
-            now, key, self._other_members(key)
-        )
-
 
 # Looked up by type: a bound singledispatchmethod is built for every call.
 _handler = ClaimStore.__dict__["_receive"].dispatcher.dispatch
