Split the stages of upstreams from the directory

Change: _lifecycle merges records, ends and expires upstreams; _reachability holds the lapsed ones and the unreachable zones; moved as they were.

--- a/foxtailworks/upstreams/_directory.py
+++ b/foxtailworks/upstreams/_directory.py
@@ -9,10 +9,11 @@
 from foxtailworks.upstreams import _announcing
 from foxtailworks.upstreams import _candidates
 from foxtailworks.upstreams import _config
-from foxtailworks.upstreams import _events
 from foxtailworks.upstreams import _health
 from foxtailworks.upstreams import _leases
+from foxtailworks.upstreams import _lifecycle
 from foxtailworks.upstreams import _messages
+from foxtailworks.upstreams import _reachability
 from foxtailworks.upstreams import _record
 from foxtailworks.upstreams import _suspicions
 from foxtailworks.upstreams import _table
@@ -53,10 +54,10 @@
         self._candidates = _candidates.Candidates(
             zone, rng, self._cfg, self._suspicions
         )
-        self._lapsed: set[ids.Address] = set()
-        self._unreachable_zones: set[ids.ZoneId] = set()
-        # Announced here although their zone is unreachable.
-        self._reachable: set[ids.Address] = set()
+        self._reachability = _reachability.Reachability()
+        self._lifecycle = _lifecycle.Lifecycle(
+            me, self._table, self._leases, self._candidates, self._reachability
+        )
         self.pending = self._table.pending
         self.hashes = self._table.hashes
 
@@ -76,21 +77,15 @@
         usable = [
             item
             for item in self._table.of_service(key)
-            if item.takes_work and item.address not in self._lapsed
+            if self._reachability.takes_work(item)
+        ]
+        reachable = [
+            item
+            for item in usable
+            if not self._reachability.is_unreachable(item)
         ]
-        reachable = [item for item in usable if not self._is_unreachable(item)]
         return self._candidates.compute(key, reachable or usable, now)
 
-    def _is_unreachable(self, item: _record.Upstream) -> bool:
-        """Return whether an upstream's zone is unreachable.
-
-        An upstream that was announced here since then is reachable.
-        """
-        return (
-            item.zone in self._unreachable_zones
-            and item.address not in self._reachable
-        )
-
     def upstreams(
         self, customer: ids.CustomerId, service: ids.ServiceId
     ) -> tuple[_record.Upstream, ...]:
@@ -118,7 +113,7 @@
         have renewed it. They get no new work until the holder is reachable
         again.
         """
-        return frozenset(self._lapsed)
+        return frozenset(self._reachability.lapsed)
 
     def all(self) -> tuple[_record.Upstream, ...]:
         """Return all records, tombstones included, sorted by address."""
@@ -192,7 +187,7 @@
         if old is None and not self._table.has_room():
             return iter((_announcing.make_refusal(announcement, old),))
         if old is None or announcement.incarnation > old.incarnation:
-            return self._merge_record(
+            return self._lifecycle.merge(
                 _announcing.first_record(announcement, self._me), now
             )
         if announcement.key != old.key:
@@ -202,10 +197,9 @@
             return iter((_announcing.make_refusal(announcement, old),))
         self._report_load(old, announcement.load, now)
         new = _announcing.next_record(announcement, old)
-        is_uncertain = old.address in self._lapsed or self._is_unreachable(old)
-        if new == old and not is_uncertain:
+        if new == old and not self._reachability.is_uncertain(old):
             return self._renew(old, announcement.load, now)
-        return self._merge_record(
+        return self._lifecycle.merge(
             new.with_changes(sequence=old.sequence + 1, holder=self._me), now
         )
 
@@ -221,7 +215,7 @@
         """
         events: abc.Iterator[object] = iter(())
         if announcement.incarnation == old.incarnation:
-            events = self._merge_record(
+            events = self._lifecycle.merge(
                 _announcing.first_record(announcement, self._me), now
             )
         refused = _announcing.make_refusal(announcement, old)
@@ -239,7 +233,7 @@
             renew = _messages.Renew(old.address, old.incarnation, load)
             to = self._leases.address_of(old.holder)
             return iter((membership.Send(to, renew),))
-        return self._merge_record(
+        return self._lifecycle.merge(
             old.with_changes(sequence=old.sequence + 1, holder=self._me), now
         )
 
@@ -268,25 +262,13 @@
         self, upstream_id: ids.UpstreamId, now: float
     ) -> abc.Iterator[object]:
         """Mark an upstream as draining, so that no host gives it new work."""
-        return self._advance(upstream_id, _State.DRAINING, now)
+        return self._lifecycle.advance(upstream_id, _State.DRAINING, now)
 
     def deregister(
         self, upstream_id: ids.UpstreamId, now: float
     ) -> abc.Iterator[object]:
         """Mark an upstream as ended, since it has deregistered."""
-        return self._advance(upstream_id, _State.ENDED, now)
-
-    def _advance(
-        self, upstream_id: ids.UpstreamId, state: _State, now: float
-    ) -> abc.Iterator[object]:
-        """Move an upstream to a later stage, unless it is there already."""
-        old = self._table.by_id(upstream_id)
-        if old is None or old.state.value >= state.value:
-            return iter(())
-        new = old.with_changes(
-            state=state, sequence=old.sequence + 1, holder=self._me
-        )
-        return self._merge_record(new, now)
+        return self._lifecycle.advance(upstream_id, _State.ENDED, now)
 
     # Records.
 
@@ -315,46 +297,7 @@
             if self._suspicions.merge(record, now):
                 self._invalidate(record.upstream)
             return iter(())
-        return self._merge_record(record, now, scope)
-
-    def _merge_record(
-        self,
-        new: _record.Upstream,
-        now: float,
-        scope: membership.GossipScope = membership.GossipScope.EVERYWHERE,
-    ) -> abc.Iterator[object]:
-        """Merge an upstream's record; return events for what it changed."""
-        merged = self._table.merge(new, scope, now)
-        if merged is None:
-            return iter(())
-        old, winner = merged
-        events = []
-        if old is not None:
-            self._leases.stop(old)
-            self._lapsed.discard(old.address)
-            self._candidates.invalidate(old.key)
-            if old.is_open and (old.id != winner.id or not winner.is_open):
-                self._candidates.drop(old)
-            if old.id != winner.id and old.is_open:
-                ended = old.with_changes(state=_State.ENDED)
-                events.append(self._event(ended))
-        if winner.zone in self._unreachable_zones:
-            self._reachable.add(winner.address)
-        if winner.is_open:
-            self._leases.start(winner, now)
-            if self._candidates.health(winner.id) is None:
-                self._candidates.add(winner, True, now)
-        self._candidates.invalidate(winner.key)
-        events.append(self._event(winner))
-        return iter(events)
-
-    def _event(self, upstream: _record.Upstream) -> _events.UpstreamChanged:
-        """Return an event with the present state of ``upstream``."""
-        takes_work = upstream.takes_work
-        takes_work = takes_work and upstream.address not in self._lapsed
-        return _events.UpstreamChanged(
-            upstream.id, upstream, takes_work, upstream.is_open
-        )
+        return self._lifecycle.merge(record, now, scope)
 
     def items_of(self, bucket: int) -> abc.Iterable[bytes]:
         """Return the encoded records of ``bucket``, tombstones included."""
@@ -371,47 +314,9 @@
             self._invalidate(upstream_id)
         events: list[object] = []
         for address in self._leases.pop_expired(now):
-            events += self._expire(address, now)
+            events += self._lifecycle.expire(address, now)
         return iter(events)
 
-    def _expire(
-        self, address: ids.Address, now: float
-    ) -> abc.Iterator[object]:
-        """Expire an upstream; with an unreachable holder it lapses first."""
-        old = self._table.get(address)
-        if old is None or not old.is_open:
-            return iter(())
-        state = self._leases.holder_state(old.holder)
-        is_first_time = address not in self._lapsed
-        if state is _leases.HolderState.UNREACHED and is_first_time:
-            self._lapsed.add(address)
-            self._leases.lapse(old, now)
-            self._candidates.invalidate(old.key)
-            return iter((self._event(old),))
-        new = old.with_changes(expired=True, sequence=old.sequence + 1)
-        return self._merge_record(new, now)
-
     def on_event(self, event: object, now: float) -> abc.Iterator[object]:
         """Update which hosts and availability zones are reachable."""
-        if isinstance(event, membership.ZoneChanged):
-            change = (
-                self._unreachable_zones.discard
-                if event.reachable
-                else self._unreachable_zones.add
-            )
-            change(event.zone)
-            self._reachable = {
-                address
-                for address in self._reachable
-                if (item := self._table.get(address)) is not None
-                and item.zone in self._unreachable_zones - {event.zone}
-            }
-            self._candidates.invalidate_all()
-        events: list[object] = []
-        for address in self._leases.on_event(event, now):
-            old = self._table.get(address)
-            if address in self._lapsed and old is not None:
-                self._lapsed.discard(address)
-                self._candidates.invalidate(old.key)
-                events.append(self._event(old))
-        return iter(events)
+        return self._lifecycle.on_event(event, now)
