--- a/foxtailworks/keeper/_server.py
+++ b/foxtailworks/keeper/_server.py
@@ -17,6 +17,7 @@
 from foxtailworks.keeper import _node
 from foxtailworks.keeper import _operators
 from foxtailworks.keeper import _peers
+from foxtailworks.keeper import _pending
 from foxtailworks.keeper import _subscribers
 from foxtailworks import links
 from foxtailworks import observe
@@ -25,8 +26,6 @@
 
 TICK_S = 0.02
 LEAVE_DELAY_S = 0.2
-# Time limit of an edit or a read that waits for a majority.
-DECIDE_TIMEOUT_S = 5.0
 
 _EVENTS = observe.Events("keeper")
 
@@ -63,9 +62,8 @@
             lambda: self.node.catalogue.view
         )
         self.operator_handler = _operators.OperatorHandler(self, clock)
-        self._decisions: dict[int, asyncio.Future[contracts.Outcome | None]]
-        self._decisions = {}
-        self._reads: dict[int, asyncio.Future[bool]] = {}
+        self._decisions = _pending.PendingDecisions()
+        self._reads = _pending.PendingReads()
         self._joins = _joins.PendingJoins()
         self._notified_version = ids.ZERO_VERSION
         self.failure: errors.FoxtailError | None = None
@@ -102,16 +100,16 @@
         if isinstance(event, agreement.Send):
             self._send(event)
         elif isinstance(event, replicated.Decided):
-            self._resolve_proposal(
+            self._decisions.resolve(
                 event.index,
                 typing.cast(contracts.Outcome | None, event.outcome),
             )
         elif isinstance(event, replicated.Displaced):
-            self._fail_proposal(event.index)
+            self._decisions.fail(event.index)
         elif isinstance(event, agreement.ReadReady):
-            self._resolve_read(event.number, True)
+            self._reads.resolve(event.number, True)
         elif isinstance(event, agreement.ReadAborted):
-            self._resolve_read(event.number, False)
+            self._reads.resolve(event.number, False)
         elif isinstance(event, agreement.RoleChanged):
             _EVENTS.info(
                 "role_changed",
@@ -134,31 +132,6 @@
         handshake = self.peers.known.get(keeper)
         return handshake.address if handshake is not None else None
 
-    def _resolve_proposal(
-        self, index: int, outcome: contracts.Outcome | None
-    ) -> None:
-        """Pass the outcome of a proposal to its waiter."""
-        fut = self._decisions.pop(index, None)
-        if fut is not None and not fut.done():
-            fut.set_result(outcome)
-
-    def _fail_proposal(self, index: int) -> None:
-        """Fail a proposal whose log index has another entry."""
-        fut = self._decisions.pop(index, None)
-        if fut is not None and not fut.done():
-            fut.set_exception(
-                errors.FoxtailError(
-                    errors.Code.EDIT_UNKNOWN,
-                    "another keeper leads; resend with the same edit id",
-                )
-            )
-
-    def _resolve_read(self, number: int, ready: bool) -> None:
-        """Pass the result of a read to its waiter."""
-        fut = self._reads.pop(number, None)
-        if fut is not None and not fut.done():
-            fut.set_result(ready)
-
     # Interface for operators' requests.
 
     async def decide(
@@ -183,20 +156,9 @@
     ) -> contracts.Outcome | None:
         """Wait for the outcome of a proposal."""
         index = propose(self._clock())
-        fut = asyncio.get_running_loop().create_future()
-        self._decisions[index] = fut
+        decision = self._decisions.add(index)
         self.process_events()
-        try:
-            async with asyncio.timeout(DECIDE_TIMEOUT_S):
-                return typing.cast(contracts.Outcome | None, await fut)
-        except TimeoutError as exc:
-            raise errors.FoxtailError(
-                errors.Code.EDIT_UNKNOWN,
-                "no majority answered in time; resend with the same edit id",
-            ) from exc
-        finally:
-            if self._decisions.get(index) is fut:
-                del self._decisions[index]
+        return await self._decisions.wait(index, decision)
 
     async def confirm_read(self) -> None:
         """Wait until a majority confirms that reads aren't stale.
@@ -204,22 +166,9 @@
         :raises FoxtailError: ``NOT_LEADER``, ``NO_QUORUM``
         """
         number = self.node.read(self._clock())
-        fut = asyncio.get_running_loop().create_future()
-        self._reads[number] = fut
+        read = self._reads.add(number)
         self.process_events()
-        try:
-            async with asyncio.timeout(DECIDE_TIMEOUT_S):
-                ready = await fut
-        except TimeoutError as exc:
-            raise errors.FoxtailError(
-                errors.Code.NO_QUORUM, "no majority confirmed the read"
-            ) from exc
-        finally:
-            self._reads.pop(number, None)
-        if not ready:
-            raise errors.FoxtailError(
-                errors.Code.NOT_LEADER, "this keeper no longer leads"
-            )
+        await self._reads.wait(number, read)
 
     # Links.
 
