Split the choice of upstreams from the placer

Change: _choice.UpstreamChoice chooses the upstream of a flow that isn't in the table; moved as it was.

--- a/foxtailworks/placement/_placer.py
+++ b/foxtailworks/placement/_placer.py
@@ -6,6 +6,7 @@
 
 from foxtailworks import errors
 from foxtailworks import ids
+from foxtailworks.placement import _choice
 from foxtailworks.placement import _exchange
 from foxtailworks.placement import _flows
 from foxtailworks.placement import _hashing
@@ -16,8 +17,6 @@
 MAX_HOPS = 5
 """Maximum number of relays; after these a packet is delivered if its flow is
 in the table, and dropped otherwise."""
-DRAIN_GRACE_S = 3.0
-"""Seconds after a drain began in which possibly old flows may stay."""
 
 
 def _admit_all(service: ids.ServiceId, now: float) -> bool:
@@ -63,6 +62,9 @@
             self._upstream_index,
             self._flow_table,
         )
+        self._choice = _choice.UpstreamChoice(
+            self._upstream_index, self._flow_table, self._exchange
+        )
         self._hosts: tuple[_types.HostView, ...] = ()
         self._is_leaving = False
         self._wait_for_hosts_until = now + _hosts.STARTUP_S
@@ -257,7 +259,7 @@
         now: float,
     ) -> _types.Decision:
         """Assign a flow to an upstream and add it to the table."""
-        upstream = self._choose(service, key, route, now)
+        upstream = self._choice.choose(service, key, route, now)
         if upstream is None:
             self.counts.refused += 1
             return _types.Refuse(errors.Code.NO_UPSTREAM)
@@ -293,53 +295,6 @@
         received = self._exchange.lookup(service, key, route)
         return not (received or self._exchange.handed_over(service, key))
 
-    def _choose(
-        self,
-        service: ids.ServiceId,
-        key: int,
-        route: _hosts.Route,
-        now: float,
-    ) -> _upstreams.Upstream | None:
-        """Return the upstream for a flow that isn't in the table."""
-        upstream = self._exchange.lookup(service, key, route)
-        upstream = upstream or self._exchange.handed_over(service, key)
-        if upstream is not None:
-            return upstream
-        previous_hash = self._exchange.previous_upstreams_hash(route)
-        current = self._upstream_index.upstreams_hash
-        for upstreams_hash in dict.fromkeys((previous_hash, current)):
-            default_upstream = self._flow_table.default_upstream(
-                upstreams_hash, service, key, route
-            )
-            upstream = (
-                self._upstream_index.get(default_upstream)
-                if default_upstream is not None
-                else None
-            )
-            if upstream is not None and self._may_use_default(
-                upstream, route, now
-            ):
-                return upstream
-        return self._upstream_index.pick_accepting(service, route.zone, key)
-
-    def _may_use_default(
-        self,
-        upstream: _upstreams.Upstream,
-        route: _hosts.Route,
-        now: float,
-    ) -> bool:
-        """Return whether a flow may go to its default upstream.
-
-        After a change of owners an unknown flow may be an old one: it may
-        stay on an upstream that sheds load or has just begun to drain.
-        """
-        view = upstream.view
-        if view.accepts_new and view.weight > 0:
-            return True
-        if route.previous_owner is None:
-            return False
-        return view.weight > 0 or now - upstream.drained_at <= DRAIN_GRACE_S
-
     def is_ready(self, now: float) -> bool:
         """Return whether this host may receive packets.
 
