Split the cluster from the trace of flows

Cause: bench/_flow_trace had 401 lines with two jobs, packets of flows and changes of hosts, upstreams and network. Change: _trace_cluster.TraceCluster holds virtual time and the changes; moved as they were.

--- a/foxtailworks/bench/_flow_trace_events.py
+++ b/foxtailworks/bench/_flow_trace_events.py
@@ -5,41 +5,44 @@
 from foxtailworks.bench import _fleet
 from foxtailworks.bench import _flow_trace
 from foxtailworks.bench import _slot_waiting
+from foxtailworks.bench import _trace_cluster
 
 
-def _change_with_differing_views(trace: _flow_trace.FlowTrace) -> None:
+def _change_with_differing_views(cluster: _trace_cluster.TraceCluster) -> None:
     """Change hosts and upstreams while hosts are notified within 2 s."""
-    trace.notify_s = _flow_trace.NOTIFY_UNEVENLY_S
-    trace.drain()
-    trace.add_upstream()
-    trace.join()
+    cluster.notify_s = _trace_cluster.NOTIFY_UNEVENLY_S
+    cluster.drain()
+    cluster.add_upstream()
+    cluster.join()
 
 
-def _change_upstreams_and_crash_host(trace: _flow_trace.FlowTrace) -> None:
+def _change_upstreams_and_crash_host(
+    cluster: _trace_cluster.TraceCluster,
+) -> None:
     """Drain, add an upstream and crash an entry host at once."""
-    trace.drain()
-    trace.add_upstream()
-    trace.crash_host()
+    cluster.drain()
+    cluster.add_upstream()
+    cluster.crash_host()
 
 
-def _drain_then_crash_host(trace: _flow_trace.FlowTrace) -> None:
+def _drain_then_crash_host(cluster: _trace_cluster.TraceCluster) -> None:
     """Crash an entry host 30 s after a drain."""
-    trace.drain()
-    trace.schedule(trace.now + 30, trace.crash_host)
-
-
-EVENTS: dict[str, abc.Callable[[_flow_trace.FlowTrace], None]] = {
-    "drain": _flow_trace.FlowTrace.drain,
-    "addition": _flow_trace.FlowTrace.add_upstream,
-    "upstream crash": _flow_trace.FlowTrace.crash_upstream,
-    "entry crash": _flow_trace.FlowTrace.crash_host,
-    "entry restart": _flow_trace.FlowTrace.restart_host,
-    "entry join": _flow_trace.FlowTrace.join,
-    "entry leave": _flow_trace.FlowTrace.leave,
+    cluster.drain()
+    cluster.schedule(cluster.now + 30, cluster.crash_host)
+
+
+EVENTS: dict[str, abc.Callable[[_trace_cluster.TraceCluster], None]] = {
+    "drain": _trace_cluster.TraceCluster.drain,
+    "addition": _trace_cluster.TraceCluster.add_upstream,
+    "upstream crash": _trace_cluster.TraceCluster.crash_upstream,
+    "entry crash": _trace_cluster.TraceCluster.crash_host,
+    "entry restart": _trace_cluster.TraceCluster.restart_host,
+    "entry join": _trace_cluster.TraceCluster.join,
+    "entry leave": _trace_cluster.TraceCluster.leave,
     "drain, then entry crash": _drain_then_crash_host,
     "both at once": _change_upstreams_and_crash_host,
     "views that differ": _change_with_differing_views,
-    "zone cut": _flow_trace.FlowTrace.isolate_zone,
+    "zone cut": _trace_cluster.TraceCluster.isolate_zone,
 }
 
 
@@ -51,5 +54,6 @@
 ) -> _flow_trace.TraceResult:
     """Run one trace of a design with one event."""
     trace = _flow_trace.FlowTrace(design, size, seed)
-    trace.schedule(_flow_trace.EVENT_S, lambda: EVENTS[event](trace))
+    cluster = trace.cluster
+    cluster.schedule(_flow_trace.EVENT_S, lambda: EVENTS[event](cluster))
     return trace.run()
--- a/foxtailworks/bench/_placement.py
+++ b/foxtailworks/bench/_placement.py
@@ -12,6 +12,7 @@
 from foxtailworks.bench import _flow_trace
 from foxtailworks.bench import _flow_trace_events
 from foxtailworks.bench import _slot_waiting
+from foxtailworks.bench import _trace_cluster
 from foxtailworks import ids
 from foxtailworks import placement
 
@@ -180,13 +181,13 @@
         placement.PlacementConfig(flow_idle_s=MEAN_FLOW_LIFETIME_S),
     )
     trace = _flow_trace.FlowTrace(fleet, size, 1)
-    trace.settle()
+    trace.cluster.settle()
     trace.churn(flows / MEAN_FLOW_LIFETIME_S, WARM_UP_S)
     before = sum(p.control_bytes for p in fleet.placers.values())
-    started = trace.now
+    started = trace.cluster.now
     trace.churn(flows / MEAN_FLOW_LIFETIME_S, CONTROL_S)
     spent = sum(p.control_bytes for p in fleet.placers.values()) - before
-    return round(spent / hosts / (trace.now - started), 1)
+    return round(spent / hosts / (trace.cluster.now - started), 1)
 
 
 def measure_drain() -> abc.Iterator[_figure.Figure]:
@@ -207,13 +208,16 @@
     size = _slot_waiting.SIZES[0]
     fleet = _fleet.Fleet(random.Random(5))
     trace = _flow_trace.FlowTrace(fleet, size, 1)
-    trace.settle()
+    trace.cluster.settle()
     callers = [ids.Address(f"10.3.{i >> 8}.{i & 255}", 9) for i in range(5000)]
     for known in (False, True):
         started = time.perf_counter()
         for caller in callers:
             fleet.packet(
-                ids.HostId("entry-0"), _flow_trace.SERVICE, caller, trace.now
+                ids.HostId("entry-0"),
+                _trace_cluster.SERVICE,
+                caller,
+                trace.cluster.now,
             )
         spent = time.perf_counter() - started
         kind = "known flow" if known else "new flow"
