Pass one context to the policies of upstream choice

Cause: five policies and their protocol repeated four parameters. Change: ChoiceContext holds the candidates, loads, time and random numbers of one choice. Measured: tests of placement and entry, formatter, linter and mypy pass.

--- a/foxtailworks/placement/__init__.py
+++ b/foxtailworks/placement/__init__.py
@@ -13,6 +13,7 @@
 
 from foxtailworks.placement._balancer import Balancer
 from foxtailworks.placement._balancer import Candidate
+from foxtailworks.placement._balancer import ChoiceContext
 from foxtailworks.placement._balancer import LeastLocalLoad
 from foxtailworks.placement._balancer import LeastReportedLoad
 from foxtailworks.placement._balancer import Outcome
@@ -47,6 +48,7 @@
     "MESSAGES",
     "Balancer",
     "Candidate",
+    "ChoiceContext",
     "DeadHost",
     "Decision",
     "Deliver",
--- a/foxtailworks/placement/_balancer.py
+++ b/foxtailworks/placement/_balancer.py
@@ -61,31 +61,34 @@
     """Number of requests sent so far."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChoiceContext:
+    """What a policy knows when it picks a candidate."""
+
+    candidates: abc.Sequence[Candidate]
+    """Upstreams to pick from, at least one."""
+    load_of: abc.Callable[[ids.UpstreamId], UpstreamLoad]
+    """Returns the load that this host has put on an upstream."""
+    now: float
+    """Time of the choice."""
+    rng: random.Random
+    """Source of random choices."""
+
+
 class Policy(typing.Protocol):
     """Strategy that picks one of several candidates."""
 
-    def pick(
-        self,
-        candidates: abc.Sequence[Candidate],
-        load_of: abc.Callable[[ids.UpstreamId], UpstreamLoad],
-        now: float,
-        rng: random.Random,
-    ) -> Candidate:
-        """Return one of ``candidates``, of which there is at least one."""
+    def pick(self, context: ChoiceContext) -> Candidate:
+        """Return one of the candidates."""
 
 
 class RandomChoice:
     """Random choice in proportion to the capacities."""
 
-    def pick(
-        self,
-        candidates: abc.Sequence[Candidate],
-        load_of: abc.Callable[[ids.UpstreamId], UpstreamLoad],
-        now: float,
-        rng: random.Random,
-    ) -> Candidate:
+    def pick(self, context: ChoiceContext) -> Candidate:
         """Return a candidate drawn by capacity."""
-        return rng.choices(candidates, [_capacity(c) for c in candidates])[0]
+        capacities = [_capacity(c) for c in context.candidates]
+        return context.rng.choices(context.candidates, capacities)[0]
 
 
 class RoundRobin:
@@ -94,31 +97,20 @@
     def __init__(self) -> None:
         self._turn = 0
 
-    def pick(
-        self,
-        candidates: abc.Sequence[Candidate],
-        load_of: abc.Callable[[ids.UpstreamId], UpstreamLoad],
-        now: float,
-        rng: random.Random,
-    ) -> Candidate:
+    def pick(self, context: ChoiceContext) -> Candidate:
         """Return the next candidate in order."""
         self._turn += 1
-        return candidates[self._turn % len(candidates)]
+        return context.candidates[self._turn % len(context.candidates)]
 
 
 class LeastReportedLoad:
     """Least load per slot by the upstreams' own reports."""
 
-    def pick(
-        self,
-        candidates: abc.Sequence[Candidate],
-        load_of: abc.Callable[[ids.UpstreamId], UpstreamLoad],
-        now: float,
-        rng: random.Random,
-    ) -> Candidate:
+    def pick(self, context: ChoiceContext) -> Candidate:
         """Return the candidate with the least load; ties at random."""
+        candidates = context.candidates
         least = min(c.reported / _capacity(c) for c in candidates)
-        return rng.choice(
+        return context.rng.choice(
             [c for c in candidates if c.reported / _capacity(c) <= least]
         )
 
@@ -132,30 +124,19 @@
     def __init__(self, report_weight: float = 0.0) -> None:
         self._report_weight = report_weight
 
-    def pick(
-        self,
-        candidates: abc.Sequence[Candidate],
-        load_of: abc.Callable[[ids.UpstreamId], UpstreamLoad],
-        now: float,
-        rng: random.Random,
-    ) -> Candidate:
+    def pick(self, context: ChoiceContext) -> Candidate:
         """Draw two by capacity and return the one with less load per slot."""
-        if len(candidates) == 1:
-            return candidates[0]
-        one, two = _draw_two(candidates, rng)
-        if self._load(two, load_of, now) < self._load(one, load_of, now):
+        if len(context.candidates) == 1:
+            return context.candidates[0]
+        one, two = _draw_two(context.candidates, context.rng)
+        if self._load(two, context) < self._load(one, context):
             return two
         return one
 
-    def _load(
-        self,
-        item: Candidate,
-        load_of: abc.Callable[[ids.UpstreamId], UpstreamLoad],
-        now: float,
-    ) -> float:
+    def _load(self, item: Candidate, context: ChoiceContext) -> float:
         """Return the load per slot, with a weighted report."""
-        own = load_of(item.upstream).in_flight
-        age_s = max(0.0, now - item.reported_at)
+        own = context.load_of(item.upstream).in_flight
+        age_s = max(0.0, context.now - item.reported_at)
         recency = math.exp2(-age_s / REPORT_HALF_LIFE_S)
         reported = self._report_weight * item.reported * recency
         return (own + reported) / _capacity(item)
@@ -180,21 +161,17 @@
         near = sorted(v.host for v in hosts if v.zone == self._zone)
         self._zone_position = near.index(me) if me in near else 0
 
-    def pick(
-        self,
-        candidates: abc.Sequence[Candidate],
-        load_of: abc.Callable[[ids.UpstreamId], UpstreamLoad],
-        now: float,
-        rng: random.Random,
-    ) -> Candidate:
+    def pick(self, context: ChoiceContext) -> Candidate:
         """Return the candidate with the least load; on a tie the first."""
-        near = [c for c in candidates if c.zone == self._zone]
-        far = [c for c in candidates if c.zone != self._zone]
+        near = [c for c in context.candidates if c.zone == self._zone]
+        far = [c for c in context.candidates if c.zone != self._zone]
         start = self._zone_position % len(near) if near else 0
-        rng.shuffle(far)
+        context.rng.shuffle(far)
         return min(
             itertools.chain(near[start:], near[:start], far),
-            key=lambda c: (load_of(c.upstream).in_flight + 1) / _capacity(c),
+            key=lambda c: (
+                (context.load_of(c.upstream).in_flight + 1) / _capacity(c)
+            ),
         )
 
 
@@ -252,7 +229,7 @@
         ready = [c for c in candidates if self._is_ready(c, now)]
         if not ready:
             return None
-        return self._policy.pick(ready, self.load_of, now, rng)
+        return self._policy.pick(ChoiceContext(ready, self.load_of, now, rng))
 
     def _is_ready(self, item: Candidate, now: float) -> bool:
         """Return whether an upstream may get a request now.
