Remove KeyGroups.divisor, a second share_divisor

Cause: both return the number of hosts of all active rosters, or 0 for a host that isn't in each; only tests called divisor. Change: the tests call share_divisor, with the same expectations. Measured: tests of requests, formatter, linter and mypy pass.

--- a/foxtailworks/requests/_groups.py
+++ b/foxtailworks/requests/_groups.py
@@ -118,17 +118,6 @@
         """Return every active roster, oldest first."""
         return tuple(item.roster for item in self._active)
 
-    def divisor(self, host: ids.HostId) -> int:
-        """Return the number by which ``host`` divides a limit for its share.
-
-        It is 0 for a host that isn't in every active roster: the others may
-        still divide the limit among themselves alone.
-        """
-        host_sets = [{h for h, _ in r.hosts} for r in self.rosters]
-        if not all(host in hosts for hosts in host_sets):
-            return 0
-        return len(set[ids.HostId]().union(*host_sets))
-
     @property
     def is_joint(self) -> bool:
         """Return whether an older roster is still active."""
--- a/foxtailworks/requests/tests/test_failures.py
+++ b/foxtailworks/requests/tests/test_failures.py
@@ -92,8 +92,8 @@
     world.run(0.2)
     (new,) = set(world.hosts) - {f"h{i}" for i in range(6)}
     world.start_host(new, world.hosts[new].zone, True)
-    assert world.hosts[new].groups.divisor(new) == 0
-    assert world.hosts[third].groups.divisor(third) == 7
+    assert world.hosts[new].groups.share_divisor(new) == 0
+    assert world.hosts[third].groups.share_divisor(third) == 7
     world.freeze(second, 30.0)
     for name in (third, new):
         world.send_request(KEY, name, is_routed=False)
