Share the encoded records of the replicated tables

Cause: the tables of hosts and of upstreams repeated their buckets, tombstones and bound. Change: membership.EncodedRecords holds them.

--- a/foxtailworks/membership/__init__.py
+++ b/foxtailworks/membership/__init__.py
@@ -23,6 +23,7 @@
 from foxtailworks.membership._host import Host
 from foxtailworks.membership._host import HostState
 from foxtailworks.membership._messages import MESSAGES
+from foxtailworks.membership._records import EncodedRecords
 from foxtailworks.membership._replication import BucketHashes
 from foxtailworks.membership._replication import GossipQueue
 from foxtailworks.membership._replication import GossipScope
@@ -33,6 +34,7 @@
     "BucketHashes",
     "Config",
     "DeclaredDead",
+    "EncodedRecords",
     "GossipQueue",
     "GossipScope",
     "Host",
--- a/foxtailworks/membership/_hosts.py
+++ b/foxtailworks/membership/_hosts.py
@@ -7,6 +7,7 @@
 from foxtailworks.membership import _events
 from foxtailworks.membership import _host
 from foxtailworks.membership import _messages
+from foxtailworks.membership import _records
 from foxtailworks.membership import _replication
 
 
@@ -16,12 +17,12 @@
     tags = frozenset({120})
 
     def __init__(self, me: _host.Host, config: _config.Config) -> None:
-        self._cfg = config
         self._zone = me.zone
         self._hosts: dict[ids.HostId, _host.Host] = {}
-        self._items: dict[ids.HostId, bytes] = {}
-        self._ended_at: dict[ids.HostId, float] = {}
-        self._buckets: dict[int, dict[ids.HostId, None]] = {}
+        self._records: _records.EncodedRecords[ids.HostId]
+        self._records = _records.EncodedRecords(
+            config.max_hosts, config.tombstone_s, self._remove
+        )
         self._by_zone: dict[ids.ZoneId, dict[ids.HostId, _host.Host]] = {}
         self._queue = _replication.GossipQueue()
         self.pending = self._queue.pending
@@ -58,14 +59,14 @@
 
         :raises KeyError: the table has no record of it
         """
-        return self._items[host_id]
+        return self._records.items[host_id]
 
     def ended_at(self, host_id: ids.HostId) -> float:
         """Return when a host was recorded as dead or left.
 
         :raises KeyError: the host is live or has no record
         """
-        return self._ended_at[host_id]
+        return self._records.ended_at[host_id]
 
     def set_role(self, zone_hosts: int, is_relay: bool) -> None:
         """Set the number of live hosts in the zone and this host's role."""
@@ -87,7 +88,7 @@
         old = self._hosts.get(record.id)
         if old is not None and not record.supersedes(old):
             return []
-        if old is None and not self._make_room():
+        if old is None and not self._records.make_room():
             self.dropped += 1
             return []
         self._store(old, record, now)
@@ -107,14 +108,8 @@
         self._hosts[new.id] = new
         self._by_zone.setdefault(new.zone, {})[new.id] = new
         item = _messages.CODEC.encode(new)
-        self._items[new.id] = item
-        bucket = self.hashes.bucket_of(new.id)
-        self._buckets.setdefault(bucket, {})[new.id] = None
+        self._records.put(new.id, item, None if new.is_live else now)
         self._hash(new)
-        if new.is_live:
-            self._ended_at.pop(new.id, None)
-        else:
-            self._ended_at[new.id] = now
         self.changed_at = now
 
     def _hash(self, host: _host.Host) -> None:
@@ -136,36 +131,19 @@
         is_suspicion = record.state is _host.HostState.SUSPECT
         if is_suspicion and scope is _replication.GossipScope.EVERYWHERE:
             scope = _replication.GossipScope.ZONE
-        item = self._items[record.id]
+        item = self._records.items[record.id]
         self._queue.put(record.id, item, scope, urgent=not record.is_live)
 
-    def _make_room(self) -> bool:
-        """Return whether a record fits, dropping the oldest tombstone."""
-        if len(self._hosts) < self._cfg.max_hosts:
-            return True
-        if not self._ended_at:
-            return False
-        self._remove_tombstone(
-            min(self._ended_at, key=self._ended_at.__getitem__)
-        )
-        return True
-
-    def _remove_tombstone(self, host_id: ids.HostId) -> None:
-        """Remove a host that is dead or left from the table and indexes."""
+    def _remove(self, host_id: ids.HostId) -> None:
+        """Remove a host whose tombstone was dropped from the indexes."""
         host = self._hosts.pop(host_id)
-        del self._items[host_id]
-        del self._ended_at[host_id]
-        del self._buckets[self.hashes.bucket_of(host_id)][host_id]
         del self._by_zone[host.zone][host_id]
         if not self._by_zone[host.zone]:
             del self._by_zone[host.zone]
 
     def on_tick(self, now: float) -> list[object]:
         """Remove tombstones older than ``tombstone_s``."""
-        limit = now - self._cfg.tombstone_s
-        old = [key for key, at in self._ended_at.items() if at < limit]
-        for host_id in old:
-            self._remove_tombstone(host_id)
+        self._records.remove_old_tombstones(now)
         return []
 
     def on_event(self, event: _events.Event, now: float) -> list[object]:
@@ -174,4 +152,4 @@
 
     def items_of(self, bucket: int) -> list[bytes]:
         """Return the encoded records of ``bucket``, tombstones included."""
-        return [self._items[key] for key in self._buckets.get(bucket, ())]
+        return self._records.items_of(bucket)
--- a/foxtailworks/upstreams/_table.py
+++ b/foxtailworks/upstreams/_table.py
@@ -14,15 +14,15 @@
     """Keeps the winning record of each address, and indexes of them."""
 
     def __init__(self, config: _config.Config) -> None:
-        self._cfg = config
         self._records: dict[ids.Address, _record.Upstream] = {}
-        self._items: dict[ids.Address, bytes] = {}
+        self._encoded: membership.EncodedRecords[ids.Address]
+        self._encoded = membership.EncodedRecords(
+            config.max_upstreams, config.tombstone_s, self._remove
+        )
         self._by_id: dict[ids.UpstreamId, _record.Upstream] = {}
         self._by_service: dict[
             _record.ServiceKey, dict[ids.Address, _record.Upstream]
         ] = {}
-        self._buckets: dict[int, dict[ids.Address, None]] = {}
-        self._ended_at: dict[ids.Address, float] = {}
         self.queue = membership.GossipQueue()
         self.pending = self.queue.pending
         self.hashes = membership.BucketHashes()
@@ -57,9 +57,7 @@
 
     def has_room(self) -> bool:
         """Return whether a record of a new address can be added."""
-        return len(self._records) < self._cfg.max_upstreams or bool(
-            self._ended_at
-        )
+        return self._encoded.has_room()
 
     def merge(
         self, new: _record.Upstream, scope: membership.GossipScope, now: float
@@ -71,7 +69,7 @@
             if winner.order() <= old.order():
                 return None
             new = winner
-        elif not self._make_room():
+        elif not self._encoded.make_room():
             self.dropped += 1
             return None
         self._check(old, new)
@@ -79,7 +77,7 @@
         # Records that stop new work are sent before others.
         self.queue.put(
             str(new.address),
-            self._items[new.address],
+            self._encoded.items[new.address],
             scope,
             urgent=not new.takes_work,
         )
@@ -107,17 +105,12 @@
         name = str(address)
         item = _messages.CODEC.encode(new)
         self._records[address] = new
-        self._items[address] = item
-        bucket = self.hashes.bucket_of(name)
-        self._buckets.setdefault(bucket, {})[address] = None
+        self._encoded.put(address, item, None if new.is_open else now)
         self.hashes.set(name, item if new.is_open else None)
         self.changed_at = now
         if new.is_open:
-            self._ended_at.pop(address, None)
             self._by_id[new.id] = new
             self._by_service.setdefault(new.key, {})[address] = new
-        else:
-            self._ended_at[address] = now
 
     def _unlink(self, old: _record.Upstream) -> None:
         """Remove a record from the indexes by id and by service."""
@@ -127,31 +120,14 @@
         if not peers:
             self._by_service.pop(old.key, None)
 
-    def _make_room(self) -> bool:
-        """Return whether a record fits, dropping the oldest tombstone."""
-        if len(self._records) < self._cfg.max_upstreams:
-            return True
-        if not self._ended_at:
-            return False
-        self._remove_tombstone(
-            min(self._ended_at, key=self._ended_at.__getitem__)
-        )
-        return True
-
-    def _remove_tombstone(self, address: ids.Address) -> None:
-        """Remove a tombstone from the table."""
+    def _remove(self, address: ids.Address) -> None:
+        """Remove a record whose tombstone has been dropped."""
         del self._records[address]
-        del self._items[address]
-        del self._ended_at[address]
-        bucket = self.hashes.bucket_of(str(address))
-        del self._buckets[bucket][address]
 
     def remove_old_tombstones(self, now: float) -> None:
         """Remove tombstones older than ``tombstone_s``."""
-        limit = now - self._cfg.tombstone_s
-        for address in [a for a, at in self._ended_at.items() if at < limit]:
-            self._remove_tombstone(address)
+        self._encoded.remove_old_tombstones(now)
 
     def items_of(self, bucket: int) -> abc.Iterable[bytes]:
         """Return the encoded records of ``bucket``, tombstones included."""
-        return [self._items[key] for key in self._buckets.get(bucket, ())]
+        return self._encoded.items_of(bucket)
