Share the commands that print one answer of the keepers

Cause: three commands of foxtailctl repeated the same steps. Change: _session.query sends one request and prints its answer. Measured: tests of ctl, formatter, linter and mypy pass.

--- a/foxtailworks/ctl/_contract.py
+++ b/foxtailworks/ctl/_contract.py
@@ -156,14 +156,8 @@
     Examples:
       foxtailctl contract list
     """
-
-    async def command(session: _session.Session) -> _session.Outcome:
-        request = contracts.ListContracts(_REQUEST_NUMBER)
-        return _session.Outcome(
-            await session.keepers().query(request, contracts.ContractList)
-        )
-
-    _session.run(ctx, command, as_json)
+    request = contracts.ListContracts(_REQUEST_NUMBER)
+    _session.query(ctx, request, contracts.ContractList, as_json)
 
 
 @app.command("history")
@@ -178,16 +172,8 @@
     Examples:
       foxtailctl contract history balans
     """
-
-    async def command(session: _session.Session) -> _session.Outcome:
-        request = contracts.GetHistory(
-            _REQUEST_NUMBER, ids.CustomerId(customer)
-        )
-        return _session.Outcome(
-            await session.keepers().query(request, contracts.HistoryAnswer)
-        )
-
-    _session.run(ctx, command, as_json)
+    request = contracts.GetHistory(_REQUEST_NUMBER, ids.CustomerId(customer))
+    _session.query(ctx, request, contracts.HistoryAnswer, as_json)
 
 
 @app.command("diff")
--- a/foxtailworks/ctl/_keeper.py
+++ b/foxtailworks/ctl/_keeper.py
@@ -46,14 +46,8 @@
     Examples:
       foxtailctl keeper list
     """
-
-    async def command(session: _session.Session) -> _session.Outcome:
-        request = contracts.ListKeepers(_REQUEST_NUMBER)
-        return _session.Outcome(
-            await session.keepers().query(request, contracts.KeeperList)
-        )
-
-    _session.run(ctx, command, as_json)
+    request = contracts.ListKeepers(_REQUEST_NUMBER)
+    _session.query(ctx, request, contracts.KeeperList, as_json)
 
 
 @app.command("add")
--- a/foxtailworks/ctl/_session.py
+++ b/foxtailworks/ctl/_session.py
@@ -55,6 +55,17 @@
 Command = abc.Callable[[Session], abc.Awaitable[Outcome]]
 
 
+def query(
+    ctx: typer.Context, request: object, expected: type, as_json: bool
+) -> None:
+    """Run a command that prints the keepers' answer to one request."""
+
+    async def command(session: Session) -> Outcome:
+        return Outcome(await session.keepers().query(request, expected))
+
+    run(ctx, command, as_json)
+
+
 def run(ctx: typer.Context, command: Command, as_json: bool) -> None:
     """Run a command, print its outcome and exit with its exit code."""
 
