State the options of both ends of a link once

Cause: dialling and listening repeated six options that must be the same. Change: _link.CONNECTION_OPTIONS holds them. Measured: tests of links, formatter, linter and mypy pass.

--- a/foxtailworks/links/_link.py
+++ b/foxtailworks/links/_link.py
@@ -18,6 +18,15 @@
 PING_INTERVAL_S = 0.5
 PING_TIMEOUT_S = 1.5
 CLOSE_TIMEOUT_S = 2.0
+CONNECTION_OPTIONS: dict[str, typing.Any] = {
+    "compression": None,
+    "ping_interval": PING_INTERVAL_S,
+    "ping_timeout": PING_TIMEOUT_S,
+    "close_timeout": CLOSE_TIMEOUT_S,
+    "max_size": MAX_MESSAGE_BYTES,
+    "max_queue": MAX_QUEUED_MESSAGES,
+}
+"""Options of a websocket at both of its ends."""
 
 # Close codes of RFC 6455.
 _POLICY_VIOLATION = 1008
--- a/foxtailworks/links/_serve.py
+++ b/foxtailworks/links/_serve.py
@@ -51,13 +51,8 @@
             address.port,
             ssl=context,
             process_request=listener.admit,
-            compression=None,
             open_timeout=OPEN_TIMEOUT_S,
-            ping_interval=_link.PING_INTERVAL_S,
-            ping_timeout=_link.PING_TIMEOUT_S,
-            close_timeout=_link.CLOSE_TIMEOUT_S,
-            max_size=_link.MAX_MESSAGE_BYTES,
-            max_queue=_link.MAX_QUEUED_MESSAGES,
+            **_link.CONNECTION_OPTIONS,
             logger=_library_log.logger(
                 lambda: listener.on_rejected("handshake")
             ),
