--- a/foxtailworks/agreement/_leader.py
+++ b/foxtailworks/agreement/_leader.py
@@ -128,8 +128,7 @@
         core.check(
             msg.index <= core.log.last_index, "follower ahead of its leader"
         )
-        progress.match_index = max(progress.match_index, msg.index)
-        progress.next_index = progress.match_index + 1
+        progress.confirm(msg.index)
     else:
         progress.next_index = max(msg.index, progress.match_index) + 1
     _advance(core, src, progress, now)
@@ -146,8 +145,7 @@
     if progress is None:
         return
     if msg.done:
-        progress.match_index = max(progress.match_index, msg.index)
-        progress.next_index = progress.match_index + 1
+        progress.confirm(msg.index)
     elif msg.index == progress.snapshot_index:
         progress.snapshot_offset = msg.received
     _advance(core, src, progress, now)
--- a/foxtailworks/agreement/_leadership.py
+++ b/foxtailworks/agreement/_leadership.py
@@ -22,6 +22,11 @@
     snapshot_offset: int = 0
     """Bytes of that snapshot that the keeper has received."""
 
+    def confirm(self, index: int) -> None:
+        """Record that the entries up to ``index`` are on its disk."""
+        self.match_index = max(self.match_index, index)
+        self.next_index = self.match_index + 1
+
 
 @dataclasses.dataclass(slots=True)
 class PendingRead:
