--- a/foxtailworks/bench/_alternatives.py
+++ b/foxtailworks/bench/_alternatives.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from foxtailworks.bench import _fleet
 from foxtailworks import ids
 from foxtailworks import placement
 
@@ -57,13 +58,13 @@
         return any(u.upstream == upstream for u in self.upstreams)
 
 
-class StatelessRendezvous:
+class StatelessRendezvous(_fleet.PartitionedDesign):
     """Rendezvous hashing without state; base of all alternatives."""
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._hosts: dict[ids.HostId, HostTables] = {}
-        self._partitions: dict[ids.HostId, int] = {}
+        super().__init__(self._hosts)
 
     def add_host(self, view: placement.HostView, now: float) -> None:
         """Start an entry host without any flows."""
@@ -96,15 +97,6 @@
         if host in self._hosts:
             self._hosts[host].upstreams = views
 
-    def set_partitions(self, partitions: dict[ids.HostId, int]) -> None:
-        """Partition the network: hosts reach only those of equal number."""
-        self._partitions = partitions
-
-    def _reaches(self, one: ids.HostId, two: ids.HostId) -> bool:
-        """Return whether ``two`` is running and reachable from ``one``."""
-        same = self._partitions.get(one, 0) == self._partitions.get(two, 0)
-        return same and two in self._hosts
-
     def packet(
         self,
         host: ids.HostId,
--- a/foxtailworks/bench/_fleet.py
+++ b/foxtailworks/bench/_fleet.py
@@ -58,7 +58,27 @@
         """Advance the design's timers to ``now``."""
 
 
-class Fleet:
+class PartitionedDesign:
+    """Network of a design, which may be partitioned.
+
+    :param running: the running hosts
+    """
+
+    def __init__(self, running: abc.Container[ids.HostId]) -> None:
+        self._running = running
+        self._partitions: dict[ids.HostId, int] = {}
+
+    def set_partitions(self, partitions: dict[ids.HostId, int]) -> None:
+        """Partition the network: hosts reach only those of equal number."""
+        self._partitions = partitions
+
+    def _reaches(self, one: ids.HostId, two: ids.HostId) -> bool:
+        """Return whether ``two`` is running and reachable from ``one``."""
+        same = self._partitions.get(one, 0) == self._partitions.get(two, 0)
+        return same and two in self._running
+
+
+class Fleet(PartitionedDesign):
     """The chosen design: one :class:`placement.Placer` on each host."""
 
     def __init__(
@@ -69,12 +89,12 @@
         self._rng = rng
         self._cfg = cfg
         self._epoch = 0
-        self._partitions: dict[ids.HostId, int] = {}
         self._in_transit: collections.deque[
             tuple[float, ids.HostId, ids.HostId, typing.Any]
         ] = collections.deque()
         self.placers: dict[ids.HostId, placement.Placer] = {}
         """Placers of the running hosts, by host."""
+        super().__init__(self.placers)
         self.hops: collections.Counter[int] = collections.Counter()
         """Number of packets by how often they were relayed."""
 
@@ -117,15 +137,6 @@
         if host in self.placers:
             self.placers[host].set_upstreams(views, now)
 
-    def set_partitions(self, partitions: dict[ids.HostId, int]) -> None:
-        """Partition the network: hosts reach only those of equal number."""
-        self._partitions = partitions
-
-    def _reaches(self, one: ids.HostId, two: ids.HostId) -> bool:
-        """Return whether ``two`` is running and reachable from ``one``."""
-        same = self._partitions.get(one, 0) == self._partitions.get(two, 0)
-        return same and two in self.placers
-
     def packet(
         self,
         host: ids.HostId,
--- a/foxtailworks/bench/_keeper_fleet.py
+++ b/foxtailworks/bench/_keeper_fleet.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+from foxtailworks.bench import _processes
 from foxtailworks import contracts
 from foxtailworks import errors
 from foxtailworks import ids
@@ -130,15 +131,7 @@
         """Terminate all processes; kill those that don't exit in time."""
         with contextlib.suppress(errors.FoxtailError):
             await self._stack.aclose()
-        for process in self._running.values():
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
-        for process in self._running.values():
-            try:
-                await asyncio.wait_for(process.wait(), STOP_TIMEOUT_S)
-            except TimeoutError:
-                process.kill()
-                await process.wait()
+        await _processes.terminate(self._running.values(), STOP_TIMEOUT_S)
 
     # Requests of an operator.
 
--- a/foxtailworks/bench/_processes.py
+++ b/foxtailworks/bench/_processes.py
@@ -75,16 +75,23 @@
 
     async def _close(self) -> None:
         """Terminate all running processes; kill those that don't exit."""
-        for process in self._running.values():
-            with contextlib.suppress(ProcessLookupError):
-                process.send_signal(signal.SIGCONT)
-                process.terminate()
-        for process in self._running.values():
-            try:
-                await asyncio.wait_for(process.wait(), STOP_TIMEOUT_S)
-            except TimeoutError:
-                process.kill()
-                await process.wait()
+        await terminate(self._running.values(), STOP_TIMEOUT_S)
+
+
+async def terminate(
+    processes: abc.Collection[asyncio.subprocess.Process], timeout_s: float
+) -> None:
+    """Terminate processes; kill those that don't exit within a timeout."""
+    for process in processes:
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+    for process in processes:
+        try:
+            await asyncio.wait_for(process.wait(), timeout_s)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
 
 
 @contextlib.asynccontextmanager
