Queue callers' packets in front of a host's slow link

Cause: the 17 packets of an upload of 20 KB are forwarded at once, while one takes 4.8 ms on a link of 2 Mbit/s, whose own queue drops the rest.

Control messages are charged to the same rate. New metrics: foxtail_link_*.

--- a/foxtailworks/datagram/_endpoint.py
+++ b/foxtailworks/datagram/_endpoint.py
@@ -35,6 +35,7 @@
     :param first_number: number of the first message; it differs from start
         to start, so that a peer doesn't take fragments of a message for
         those of an earlier one, sent from the same address
+    :param on_sent: called with the bytes of each datagram that is sent
     """
 
     def __init__(
@@ -44,12 +45,14 @@
         clock: abc.Callable[[], float],
         on_part: _fragments.PartHandler | None = None,
         first_number: int = 0,
+        on_sent: abc.Callable[[int], None] | None = None,
     ) -> None:
         self._codec = codec
         self._on_message = on_message
         self._clock = clock
         self._assembler = _fragments.Assembler(on_part)
         self._message_numbers = itertools.count(first_number)
+        self._on_sent = on_sent
         self._socket: udp.Socket | None = None
         self.malformed = 0
         """Datagrams dropped because they could not be decoded."""
@@ -81,6 +84,8 @@
         assert self._socket is not None
         for item in datagrams:
             self._socket.send(item, target)
+            if self._on_sent is not None:
+                self._on_sent(len(item))
 
     def receive(self, datagram: bytes, src: ids.Address) -> None:
         """Process one datagram; count and drop one that cannot be decoded.
@@ -109,14 +114,18 @@
     clock: abc.Callable[[], float],
     bound: sockets.socket | None = None,
     on_part: _fragments.PartHandler | None = None,
+    on_sent: abc.Callable[[int], None] | None = None,
 ) -> abc.AsyncIterator[Endpoint]:
     """Bind an endpoint and close it when the block ends.
 
     :param bound: socket that was bound to ``address`` before
     :param on_part: called for each fragment of a message that has several
+    :param on_sent: called with the bytes of each datagram that is sent
     """
     first_number = secrets.randbelow(NUMBERS)
-    endpoint = Endpoint(codec, on_message, clock, on_part, first_number)
+    endpoint = Endpoint(
+        codec, on_message, clock, on_part, first_number, on_sent
+    )
     async with udp.open_socket(
         address.ip, address.port, endpoint.receive, bound
     ) as socket:
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -10,6 +10,7 @@
 from foxtailworks import datagram
 from foxtailworks import discovery
 from foxtailworks.edge import _audit
+from foxtailworks.edge import _link
 from foxtailworks.edge import _scrape
 from foxtailworks import errors
 from foxtailworks import ids
@@ -57,6 +58,7 @@
     :param clock: seconds that also pass while the process is stopped
     :param carry_out: carries out the decisions on packets that had to wait
     :param describe: returns a readable name of a flow
+    :param link: queue of the host's own link, for its metrics
     """
 
     def __init__(
@@ -66,9 +68,11 @@
         rng: random.Random,
         carry_out: abc.Callable[[steering.DuePacket], None],
         describe: _audit.Describe = bytes.hex,
+        link: _link.Link | None = None,
     ) -> None:
         self._cfg = cfg
         self._clock = clock
+        self._link = link
         self.roster = discovery.Roster()
         self.steering = steering.Steering(self.roster, cfg.zone, rng)
         self._tables = steering.TableDecoder()
@@ -128,7 +132,7 @@
                 float(self.steering.waiting_count),
             ),
         }
-        return _scrape.render(self._audit.metrics, gauges)
+        return _scrape.render(self._audit.metrics, gauges, self._link)
 
     def withdraw(self) -> None:
         """Stop being ready; packets that still arrive are served."""
@@ -326,18 +330,21 @@
     carry_out: abc.Callable[[steering.DuePacket], None],
     describe: _audit.Describe,
     stop: asyncio.Event,
+    link: _link.Link | None = None,
 ) -> abc.AsyncIterator[Host]:
     """Run an edge host for the duration of the block.
 
     :param stop: event that is set when a fault has ended the host
+    :param link: queue of the host's own link, which messages are charged to
     """
-    host = Host(cfg, clock, rng, carry_out, describe)
+    host = Host(cfg, clock, rng, carry_out, describe, link)
     async with datagram.open_endpoint(
         cfg.peer_address,
         polling.CODEC,
         host.receive,
         clock,
         on_part=host.on_part,
+        on_sent=None if link is None else link.charge,
     ) as endpoint:
         host.attach(endpoint)
         async with service.run_periodically(host.on_tick, TICK_S, clock, stop):
--- a/foxtailworks/edge/_scrape.py
+++ b/foxtailworks/edge/_scrape.py
@@ -8,22 +8,28 @@
 import typing
 
 from foxtailworks.edge import _audit
+from foxtailworks.edge import _link
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 def render(
-    metrics: _audit.Metrics, gauges: abc.Mapping[str, tuple[str, float]]
+    metrics: _audit.Metrics,
+    gauges: abc.Mapping[str, tuple[str, float]],
+    link: _link.Link | None = None,
 ) -> bytes:
     """Return all metrics of an edge host as text.
 
     :param gauges: maps a name to its help text and value
+    :param link: queue of the host's own link; None if it has none
     """
     import prometheus_client
     from prometheus_client import registry
 
     collectors = registry.CollectorRegistry()
     collectors.register(_Collector(metrics, gauges))
+    if link is not None:
+        collectors.register(_LinkCollector(link))
     return prometheus_client.generate_latest(collectors)
 
 
@@ -79,3 +85,42 @@
             )
         for name, (meaning, level) in self._gauges.items():
             yield core.GaugeMetricFamily(f"foxtail_{name}", meaning, level)
+
+
+class _LinkCollector:
+    """Collector that reads the metrics of the link's queue."""
+
+    def __init__(self, link: _link.Link) -> None:
+        self._link = link
+
+    def collect(self) -> abc.Iterator[typing.Any]:
+        """Yield each family of metrics."""
+        from prometheus_client import core
+
+        link = self._link
+        yield core.GaugeMetricFamily(
+            "foxtail_link_queued_bytes",
+            "Bytes that wait for the link.",
+            link.queued_bytes,
+        )
+        yield core.GaugeMetricFamily(
+            "foxtail_link_oldest_seconds",
+            "Age of the oldest packet that waits for the link.",
+            link.oldest_age_s,
+        )
+        counters = (
+            ("sent", "Callers' bytes sent.", link.counters.sent_bytes),
+            ("charged", "Control bytes sent.", link.counters.charged_bytes),
+        )
+        for name, meaning, value in counters:
+            yield core.CounterMetricFamily(
+                f"foxtail_link_{name}_bytes", meaning, value=value
+            )
+        dropped = core.CounterMetricFamily(
+            "foxtail_link_dropped",
+            "Packets dropped in the link's queue, by reason.",
+            labels=["reason"],
+        )
+        for reason, count in link.counters.dropped.items():
+            dropped.add_metric([reason.value], count)
+        yield dropped
