Store evacuated zones in the operators' state machine

Cause: operators order the evacuation of zones, which must survive the loss of all power and of disks up to the tolerance, as documents do. Change: an Evacuate command beside Put, and a State of document and evacuation.

Commands and their encoding move to a module of their own.

--- a/foxtailworks/revisions/__init__.py
+++ b/foxtailworks/revisions/__init__.py
@@ -2,31 +2,47 @@
 
 It serves operators that number their documents themselves.  A command whose
 revision isn't higher than the stored one changes nothing, so commands may be
-repeated and reordered.
+repeated and reordered.  Beside the document it stores the evacuated zones, of
+which the last committed order holds.
 
 Example::
 
     register = revisions.Register()
     register.apply(1, revisions.encode_put(revisions.Put(7, document)))
     register.current.revision  # 7
+    order = revisions.Evacuate(zone, is_evacuated=True)
+    register.apply(2, revisions.encode_evacuate(order))
+    register.state.evacuation.zones  # (zone,)
 """
 
-from foxtailworks.revisions._register import decode_put
-from foxtailworks.revisions._register import encode_put
-from foxtailworks.revisions._register import NO_DOCUMENT
+from foxtailworks.revisions._commands import Command
+from foxtailworks.revisions._commands import decode_command
+from foxtailworks.revisions._commands import encode_evacuate
+from foxtailworks.revisions._commands import encode_put
+from foxtailworks.revisions._commands import Evacuate
+from foxtailworks.revisions._commands import Evacuation
+from foxtailworks.revisions._commands import NO_DOCUMENT
+from foxtailworks.revisions._commands import NO_EVACUATION
+from foxtailworks.revisions._commands import Put
+from foxtailworks.revisions._commands import State
+from foxtailworks.revisions._commands import StoredDocument
 from foxtailworks.revisions._register import Outcome
-from foxtailworks.revisions._register import Put
 from foxtailworks.revisions._register import Register
 from foxtailworks.revisions._register import restore
-from foxtailworks.revisions._register import StoredDocument
 
 __all__ = [
     "NO_DOCUMENT",
-    "StoredDocument",
+    "NO_EVACUATION",
+    "Command",
+    "Evacuate",
+    "Evacuation",
     "Outcome",
     "Put",
     "Register",
-    "decode_put",
+    "State",
+    "StoredDocument",
+    "decode_command",
+    "encode_evacuate",
     "encode_put",
     "restore",
 ]
--- a/foxtailworks/revisions/_register.py
+++ b/foxtailworks/revisions/_register.py
@@ -2,46 +2,10 @@
 
 import dataclasses
 import enum
-import zlib
+import functools
 
 from foxtailworks import errors
-from foxtailworks import wire
-
-_COMPRESSION = 6
-# zlib's default level: a document is compressed once and sent often.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Put:
-    """Command that stores a document unless a newer one is stored."""
-
-    revision: int
-    """Number chosen by the operator; the highest wins."""
-    document: bytes
-    """Text of the document, compressed with zlib."""
-
-    @classmethod
-    def of(cls, revision: int, text: bytes) -> "Put":
-        """Create the command from the uncompressed text."""
-        return cls(revision, zlib.compress(text, _COMPRESSION))
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredDocument:
-    """Document in force, with its revision."""
-
-    revision: int
-    """Revision of the document; 0 while there is none."""
-    document: bytes
-    """Text of the document, compressed with zlib."""
-
-    def text(self) -> bytes:
-        """Return the uncompressed text, as the operator sent it."""
-        return zlib.decompress(self.document)
-
-
-NO_DOCUMENT = StoredDocument(0, b"")
-"""State before the first command."""
+from foxtailworks.revisions import _commands
 
 
 class Outcome(enum.Enum):
@@ -51,45 +15,33 @@
     OVERTAKEN = "overtaken"
 
 
-_CODEC = wire.Codec({1: Put, 2: StoredDocument}, limit=4 << 20)
-
-
-def encode_put(command: Put) -> bytes:
-    """Encode ``command`` as the data of a log entry."""
-    return _CODEC.encode(command)
-
-
-def decode_put(data: bytes) -> Put:
-    """Decode the data of a log entry."""
-    command: Put = _CODEC.decode(data)
-    return command
-
-
 class Register:
-    """State machine that stores the document in force.
+    """State machine that stores the document and the evacuated zones.
 
-    :param index: last log entry that is contained in ``stored``
+    :param index: last log entry that is contained in ``state``
     """
 
     def __init__(
-        self, index: int = 0, stored: StoredDocument = NO_DOCUMENT
+        self, index: int = 0, state: _commands.State | None = None
     ) -> None:
         self._index = index
-        self.current = stored
+        self.state = state or _commands.State()
+        """Document and evacuation in force."""
 
     @property
     def index(self) -> int:
         """Index of the last log entry that was applied or skipped."""
         return self._index
 
+    @property
+    def current(self) -> _commands.StoredDocument:
+        """Document in force."""
+        return self.state.document
+
     def apply(self, index: int, data: bytes) -> Outcome:
         """Apply the command at ``index``; deterministic on all replicas."""
         self.skip(index)
-        command = decode_put(data)
-        if command.revision <= self.current.revision:
-            return Outcome.OVERTAKEN
-        self.current = StoredDocument(command.revision, command.document)
-        return Outcome.IN_FORCE
+        return _apply(_commands.decode_command(data), self)
 
     def skip(self, index: int) -> None:
         """Advance ``index`` past an entry that isn't a command.
@@ -103,13 +55,34 @@
         self._index = index
 
     def snapshot(self) -> bytes:
-        """Return the encoded document, without the index."""
-        return _CODEC.encode(self.current)
+        """Return the encoded state, without the index."""
+        return _commands.encode_state(self.state)
+
+
+@functools.singledispatch
+def _apply(command: object, register: Register) -> Outcome:
+    """Apply a command to the register's state."""
+    raise errors.FoxtailError(errors.Code.INTERNAL, "unknown command")
+
+
+@_apply.register
+def _(command: _commands.Put, register: Register) -> Outcome:
+    if command.revision <= register.current.revision:
+        return Outcome.OVERTAKEN
+    document = _commands.StoredDocument(command.revision, command.document)
+    register.state = dataclasses.replace(register.state, document=document)
+    return Outcome.IN_FORCE
+
+
+@_apply.register
+def _(command: _commands.Evacuate, register: Register) -> Outcome:
+    evacuation = register.state.evacuation.apply(command)
+    register.state = dataclasses.replace(register.state, evacuation=evacuation)
+    return Outcome.IN_FORCE
 
 
 def restore(index: int, data: bytes | None) -> Register:
     """Create a register from a snapshot, or an empty one without data."""
     if data is None:
         return Register()
-    stored: StoredDocument = _CODEC.decode(data)
-    return Register(index, stored)
+    return Register(index, _commands.decode_state(data))
