Commit and disseminate evacuations in the coordinators

Cause: an acknowledged order must survive kills, power and disk losses, and reach edge hosts within a second. Change: Documents.evacuate always proposes its order and logs evacuation_acknowledged; answers, summaries, notices, the saved start reply and the hints carry number and zones. A changed evacuation makes the hints due at once, except for the pause after a failed write. The newest committed state moves to coordinator/_committed.

--- a/foxtailworks/coordinator/_documents.py
+++ b/foxtailworks/coordinator/_documents.py
@@ -1,4 +1,4 @@
-"""Writes and confirmed reads of the operators' document."""
+"""Writes and confirmed reads of the operators' document and orders."""
 
 import asyncio
 from collections import abc
@@ -7,6 +7,8 @@
 
 from foxtailworks import agreement
 from foxtailworks import errors
+from foxtailworks import ids
+from foxtailworks import logs
 from foxtailworks import replicated
 from foxtailworks import revisions
 
@@ -15,6 +17,8 @@
 It is below the operators' limit for an acknowledgement, so that they have
 time to try another coordinator."""
 
+_EVENTS = logs.Events("coordinator")
+
 
 class Documents:
     """Proposes writes and reads to the node and waits for their results.
@@ -35,10 +39,15 @@
         self._decisions: dict[int, asyncio.Future[bool]] = {}
         self._reads: dict[int, asyncio.Future[bool]] = {}
 
+    @property
+    def state(self) -> revisions.State:
+        """State as of the last applied entry; it may be stale."""
+        return typing.cast(revisions.Register, self._node.machine).state
+
     @property
     def current(self) -> revisions.StoredDocument:
         """Document as of the last applied entry; it may be stale."""
-        return typing.cast(revisions.Register, self._node.machine).current
+        return self.state.document
 
     async def put(self, revision: int, text: bytes) -> None:
         """Return once ``revision`` or a higher one is committed.
@@ -50,7 +59,31 @@
             await self.confirm()
             return
         command = revisions.Put.of(revision, text)
-        data = revisions.encode_put(command)
+        await self._commit(revisions.encode_put(command))
+
+    async def evacuate(self, zone: ids.ZoneId, is_evacuated: bool) -> None:
+        """Return once the evacuation of a zone, or its end, is committed.
+
+        An order is proposed even if it seems to change nothing: this node
+        may not have applied the order that it reverses yet.
+
+        :param zone: one of the zones that may be evacuated
+        :raises FoxtailError: as :meth:`put`
+        """
+        order = revisions.Evacuate(zone, is_evacuated)
+        await self._commit(revisions.encode_evacuate(order))
+        _EVENTS.info(
+            "evacuation_acknowledged",
+            zone=zone,
+            is_evacuated=is_evacuated,
+            number=self.state.evacuation.number,
+        )
+
+    async def _commit(self, data: bytes) -> None:
+        """Propose a command and return once it is committed.
+
+        :raises FoxtailError: as :meth:`put`
+        """
         index = self._node.propose_data(data, self._clock())
         if not await self._wait(self._decisions, index):
             raise errors.FoxtailError(
--- a/foxtailworks/coordinator/_edge_hosts.py
+++ b/foxtailworks/coordinator/_edge_hosts.py
@@ -37,6 +37,8 @@
     """Whether the coordinator knows a leader."""
     host_count: int
     """Number of edge hosts."""
+    evacuation: polling.Evacuation
+    """Committed evacuation."""
 
 
 _AnswerKey: typing.TypeAlias = tuple[int, int | None]
@@ -80,23 +82,23 @@
         self,
         msg: polling.Poll,
         src: ids.Address,
-        document: revisions.StoredDocument,
+        committed: revisions.State,
         is_current: bool,
         now: float,
     ) -> polling.PollAnswer:
         """Record a host's suspicions and return the answer to its poll.
 
-        :param document: newest document known to be committed
+        :param committed: newest state known to be committed
         :param is_current: whether this coordinator knows a leader
         """
-        state = self._record(msg, src, document, is_current, now)
+        state = self._record(msg, src, committed, is_current, now)
         return self._make_answer(msg, state)
 
     def encoded_answer(
         self,
         msg: polling.Poll,
         src: ids.Address,
-        document: revisions.StoredDocument,
+        committed: revisions.State,
         is_current: bool,
         now: float,
     ) -> tuple[bytes, ...]:
@@ -107,7 +109,7 @@
         Of a large answer a host gets as many parts as it grants, the others
         by request; without a grant it gets a summary.
         """
-        state = self._record(msg, src, document, is_current, now)
+        state = self._record(msg, src, committed, is_current, now)
         datagrams = self._cached_answer(msg, state)
         if len(datagrams) > 1:
             self._large.keep(datagrams)
@@ -164,7 +166,7 @@
         self,
         msg: polling.Poll,
         src: ids.Address,
-        document: revisions.StoredDocument,
+        committed: revisions.State,
         is_current: bool,
         now: float,
     ) -> _State:
@@ -172,7 +174,7 @@
         self._suspicions.update(msg.host, msg.suspected, now)
         self._followers.on_poll(src, msg.is_follower, now)
         self._hosts.on_poll(msg.host, now)
-        self._update_routes(document)
+        self._update_routes(committed.document)
         return _State(
             self._registry.version,
             self._tables.revision,
@@ -180,6 +182,7 @@
             self._suspicions.suspected(now),
             is_current,
             self._hosts.count(now),
+            _as_message(committed.evacuation),
         )
 
     def _make_answer(
@@ -194,6 +197,7 @@
             state.suspected,
             state.is_current,
             state.host_count,
+            state.evacuation,
         )
 
     def _summary(self, state: _State) -> polling.Summary:
@@ -205,6 +209,7 @@
             state.coordinators,
             state.suspected,
             state.is_current,
+            state.evacuation,
         )
 
     def _base_for(self, msg: polling.Poll) -> int | None:
@@ -224,28 +229,35 @@
         return b"" if base is None else self._tables.encode(base)
 
     def notice(
-        self, revision: int, now: float
+        self, committed: revisions.State, now: float
     ) -> tuple[polling.Notice, tuple[ids.Address, ...]]:
         """Return the notice that is due now and the hosts to send it to."""
         version = self._registry.version
-        addresses = self._followers.to_notify((version, revision), now)
-        msg = polling.Notice(self._registry.session, version, revision)
+        revision = committed.document.revision
+        evacuation = _as_message(committed.evacuation)
+        addresses = self._followers.to_notify(
+            (version, revision, evacuation.number), now
+        )
+        msg = polling.Notice(
+            self._registry.session, version, revision, evacuation
+        )
         return msg, addresses
 
     def start_reply(
         self,
         live: tuple[discovery.Instance, ...],
-        document: revisions.StoredDocument,
+        committed: revisions.State,
         now: float,
     ) -> warmstart.Reply:
         """Return the answer to polls that the next start begins with."""
-        self._update_routes(document)
+        self._update_routes(committed.document)
         return _start_reply.make_reply(
             live,
             self._tables.revision,
             self._tables.encode(),
             self._peers.recent_addresses(now),
             self._hosts.count(now),
+            _as_message(committed.evacuation),
             self._rng,
         )
 
@@ -253,3 +265,8 @@
         """Read the routes of a committed document if it is a newer one."""
         if document.revision > self._tables.revision:
             self._tables.put(self._read_table(document.text()))
+
+
+def _as_message(evacuation: revisions.Evacuation) -> polling.Evacuation:
+    """Return an evacuation in the form that edge hosts receive."""
+    return polling.Evacuation(evacuation.number, evacuation.zones)
--- a/foxtailworks/coordinator/_hints.py
+++ b/foxtailworks/coordinator/_hints.py
@@ -33,6 +33,13 @@
     """A committed document: perhaps not the newest, never a rejected one."""
     gone: tuple[discovery.Instance, ...] = ()
     """Instances that have left; a late heartbeat must not bring them back."""
+    evacuation: revisions.Evacuation = revisions.NO_EVACUATION
+    """A committed evacuation, as the document."""
+
+    @property
+    def state(self) -> revisions.State:
+        """The operators' state in these hints."""
+        return revisions.State(self.document, self.evacuation)
 
 
 _CODEC = wire.Codec({1: SavedHints}, limit=16 << 20)
@@ -52,7 +59,8 @@
     ) -> None:
         self._path = folder / warmstart.FILE_NAME
         self._clock = clock
-        self._saved_versions = (0, 0)
+        self._saved_versions = (0, 0, 0)
+        self._retry_at = clock()
         self._next_save_at = clock() + SAVE_INTERVAL_S
 
     def load(self) -> SavedHints:
@@ -65,12 +73,13 @@
         except (OSError, errors.FoxtailError) as exc:
             _EVENTS.warning("hints_unreadable", reason=str(exc))
             return SavedHints()
+        self._saved_versions = (0, 0, saved.evacuation.number)
         return saved
 
     def save_if_due(
         self,
         registry: discovery.Registry,
-        document: revisions.StoredDocument,
+        committed: revisions.State,
         make_reply: abc.Callable[
             [tuple[discovery.Instance, ...]], warmstart.Reply
         ],
@@ -78,26 +87,43 @@
     ) -> None:
         """Write the hints if they have changed and the interval has passed.
 
+        :param committed: newest state known to be committed
         :param make_reply: returns the answer to polls during the next start,
             given the live instances
         """
-        versions = (registry.version, document.revision)
-        if now < self._next_save_at or versions == self._saved_versions:
+        number = committed.evacuation.number
+        versions = (registry.version, committed.document.revision, number)
+        if versions == self._saved_versions or not self._is_due(number, now):
             return
         gone, instances = _by_presence(registry)
         data = warmstart.pack(make_reply(instances))
-        data += _CODEC.encode(SavedHints(instances, document, gone))
+        data += _CODEC.encode(
+            SavedHints(
+                instances, committed.document, gone, committed.evacuation
+            )
+        )
         begun_at = self._clock()
         try:
             self._write(data)
         except OSError as exc:
             _EVENTS.warning("hints_unwritten", reason=exc.strerror)
-            self._next_save_at = now + PAUSE_S
+            self._next_save_at = self._retry_at = now + PAUSE_S
             return
         self._saved_versions = versions
         pause_s = (self._clock() - begun_at) / DISK_SHARE
         self._next_save_at = now + min(PAUSE_S, max(SAVE_INTERVAL_S, pause_s))
 
+    def _is_due(self, number: int, now: float) -> bool:
+        """Return whether the interval allows a write now.
+
+        A changed evacuation is written at once, except after a failure: an
+        edge host that starts from an old reply sends flows to the zone until
+        its next poll.
+        """
+        if number != self._saved_versions[2]:
+            return now >= self._retry_at
+        return now >= self._next_save_at
+
     def _write(self, data: bytes) -> None:
         """Replace the file atomically, so that a loss of power keeps it."""
         temporary = self._path.with_name(warmstart.FILE_NAME + ".new")
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -7,6 +7,7 @@
 import uuid
 
 from foxtailworks import agreement
+from foxtailworks.coordinator import _committed
 from foxtailworks.coordinator import _dispatch
 from foxtailworks.coordinator import _documents
 from foxtailworks.coordinator import _edge_hosts
@@ -90,11 +91,11 @@
         self.documents: _documents.Documents | None = None
         self._open_disk(now)
         self._hints = _hints.Hints(cfg.data_folder, clock)
-        self._restored_document = revisions.NO_DOCUMENT
+        self._committed = _committed.Committed()
         if not cfg.is_first_start:
             saved = self._hints.load()
             self.registry.restore((*saved.gone, *saved.instances), now)
-            self._restored_document = saved.document
+            self._committed.update(saved.state)
 
     # Disk and node.
 
@@ -258,9 +259,12 @@
     def on_poll(self, msg: polling.Poll, src: ids.Address) -> None:
         """Answer the poll of an edge host."""
         assert self._endpoint is not None
-        document = self._committed_document()
         answer = self._edge_hosts.encoded_answer(
-            msg, src, document, self._is_current(), self._clock()
+            msg,
+            src,
+            self._committed_state(),
+            self._is_current(),
+            self._clock(),
         )
         self._endpoint.send_encoded(answer, src)
 
@@ -284,9 +288,9 @@
         self, msg: polling.Poll, src: ids.Address
     ) -> polling.PollAnswer:
         """Return the answer to an edge host's poll."""
-        document = self._committed_document()
+        state = self._committed_state()
         return self._edge_hosts.answer(
-            msg, src, document, self._is_current(), self._clock()
+            msg, src, state, self._is_current(), self._clock()
         )
 
     def _is_current(self) -> bool:
@@ -298,23 +302,16 @@
 
     def _notify_edge_hosts(self, now: float) -> None:
         """Notify the following hosts of changes if a notice is due."""
-        revision = self._committed_document().revision
-        msg, addresses = self._edge_hosts.notice(revision, now)
+        state = self._committed_state()
+        msg, addresses = self._edge_hosts.notice(state, now)
         for address in addresses:
             self._send(msg, address)
 
-    def _committed_document(self) -> revisions.StoredDocument:
-        """Return the newest document that is known to be committed.
-
-        After a restart that is the one from the hints on disk, until a
-        leader has sent its commit index.
-        """
+    def _committed_state(self) -> revisions.State:
+        """Return the newest state that is known to be committed."""
         if self.documents is None:
-            return self._restored_document
-        document = self.documents.current
-        if document.revision > self._restored_document.revision:
-            self._restored_document = document
-        return self._restored_document
+            return self._committed.state
+        return self._committed.update(self.documents.state)
 
     # Periodic work.
 
@@ -338,11 +335,11 @@
             self._group.on_tick(self.node, now)
         self.process_events()
         self._notify_edge_hosts(now)
-        document = self._committed_document()
+        state = self._committed_state()
         self._hints.save_if_due(
             self.registry,
-            document,
-            lambda live: self._edge_hosts.start_reply(live, document, now),
+            state,
+            lambda live: self._edge_hosts.start_reply(live, state, now),
             now,
         )
 
--- a/foxtailworks/coordinator/_start_reply.py
+++ b/foxtailworks/coordinator/_start_reply.py
@@ -27,6 +27,7 @@
     table: bytes,
     coordinators: tuple[ids.Address, ...],
     host_count: int,
+    evacuation: polling.Evacuation,
     rng: random.Random,
 ) -> warmstart.Reply:
     """Return the reply to any poll of an edge host that has just started.
@@ -34,20 +35,28 @@
     :param live: instances that hold a lease now
     :param table: encoded routes of ``revision``, which is committed
     :param host_count: number of edge hosts that polled before
+    :param evacuation: committed evacuation
     :param rng: draws a session, so that a host polls for everything again
         once the coordinator runs
     """
     listed = tuple(discovery.ListedInstance(item, True) for item in live)
     changes = discovery.Changes(rng.getrandbits(62), 0, 1, listed)
     answer = polling.PollAnswer(
-        changes, revision, table, coordinators, (), True, host_count
+        changes,
+        revision,
+        table,
+        coordinators,
+        (),
+        True,
+        host_count,
+        evacuation,
     )
     # The numbers of the messages differ from those of the endpoint, which
     # are below, so that fragments of both aren't mixed.
     number = rng.getrandbits(_NUMBER_BITS) | 1 << _NUMBER_BITS - 1
     datagrams = datagram.split(number, polling.CODEC.encode(answer))
     summary = polling.Summary(
-        changes.session, 1, revision, coordinators, (), is_current=True
+        changes.session, 1, revision, coordinators, (), True, evacuation
     )
     summaries = datagram.split(number ^ 1, polling.CODEC.encode(summary))
     offset, polls = _signature(polling.Poll(ids.HostId(""), 0, 0, 0))
--- a/foxtailworks/coordinator/tests/test_edge_hosts.py
+++ b/foxtailworks/coordinator/tests/test_edge_hosts.py
@@ -57,7 +57,7 @@
     register = revisions.Register()
     put = revisions.Put.of(revision, b"document %d" % revision)
     register.apply(1, revisions.encode_put(put))
-    return register.current
+    return register.state
 
 
 @pytest.fixture(name="answering")
--- a/foxtailworks/coordinator/tests/test_hints.py
+++ b/foxtailworks/coordinator/tests/test_hints.py
@@ -26,6 +26,7 @@
         self.encoding_s = 0.0
         self.folder = folder
         self.synced = []
+        self.state = revisions.State()
         self.registry = discovery.Registry(5, 30.0)
         self.hints = _hints.Hints(folder, lambda: self.now)
         fsync = os.fsync
@@ -49,9 +50,7 @@
     def tick(self, now):
         """Save if it is due; return how many instances are on the disk."""
         self.now = now
-        self.hints.save_if_due(
-            self.registry, revisions.NO_DOCUMENT, self.make_reply, now
-        )
+        self.hints.save_if_due(self.registry, self.state, self.make_reply, now)
         return len(_hints.Hints(self.folder, lambda: 0.0).load().instances)
 
 
@@ -131,7 +130,7 @@
 
 def test_hints_of_the_last_release_are_read():
     _, fields = cbor2.loads(_hints._CODEC.encode(_hints.SavedHints()))
-    data = cbor2.dumps([1, fields[:-1]])
+    data = cbor2.dumps([1, fields[:-2]])
     assert _hints._CODEC.decode(data) == _hints.SavedHints()
 
 
@@ -145,3 +144,45 @@
         path.write_bytes(data[:size])
         loaded = _hints.Hints(saving.folder, lambda: 0.0).load()
         assert loaded == _hints.SavedHints()
+
+
+def evacuated(number):
+    evacuation = revisions.Evacuation(number, (ids.ZoneId("b"),))
+    return revisions.State(evacuation=evacuation)
+
+
+def test_a_changed_evacuation_is_saved_at_once_even_on_a_slow_disk(saving):
+    # An edge host that starts from the old reply would use the zone.
+    saving.write_s = 0.1
+    saving.announce(1)
+    saving.tick(1.0)
+    saving.announce(2)
+    saving.state = evacuated(1)
+    assert saving.tick(1.2) == 2
+    saved = _hints.Hints(saving.folder, lambda: 0.0).load()
+    assert saved.state == evacuated(1)
+
+
+def test_a_changed_evacuation_waits_after_a_failed_write(saving, monkeypatch):
+    # A full disk would otherwise get a write in each tick.
+    saving.state = evacuated(1)
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "rename", refuse)
+        saving.tick(1.0)
+    written = []
+    monkeypatch.setattr(saving.hints, "_write", written.append)
+    saving.tick(10.9)
+    assert not written
+    saving.tick(11.1)
+    assert written
+
+
+def test_restored_hints_are_not_rewritten_at_once(saving):
+    # The first seconds' reply would name few coordinators and instances.
+    saving.state = evacuated(3)
+    saving.tick(1.0)
+    restarted = _hints.Hints(saving.folder, lambda: saving.now)
+    assert restarted.load().evacuation.number == 3
+    saving.announce(1)
+    saving.hints = restarted
+    assert saving.tick(1.5) == 0
--- a/foxtailworks/coordinator/tests/test_start_reply.py
+++ b/foxtailworks/coordinator/tests/test_start_reply.py
@@ -17,6 +17,7 @@
 
 COORDINATOR = ids.Address("10.0.0.1", 7000)
 DESTINATION = ids.Address("198.18.0.1", 443)
+EVACUATION = polling.Evacuation(4, (ids.ZoneId("b"),))
 
 
 def make_table(count=1000):
@@ -43,6 +44,7 @@
         encoded.encode(make_table()),
         (COORDINATOR,),
         9,
+        EVACUATION,
         random.Random(seed),
     )
 
--- a/foxtailworks/polling/__init__.py
+++ b/foxtailworks/polling/__init__.py
@@ -11,7 +11,7 @@
 
     followers = polling.Followers()
     followers.on_poll(src, poll.is_follower, now)
-    for address in followers.to_notify((version, revision), now):
+    for address in followers.to_notify((version, revision, number), now):
         send(notice, address)
 
 A host receives a large answer part by part (:class:`Transfers`), and a
@@ -23,6 +23,7 @@
 from foxtailworks.polling._large_answers import LargeAnswers
 from foxtailworks.polling._messages import ALL_PARTS
 from foxtailworks.polling._messages import CODEC
+from foxtailworks.polling._messages import Evacuation
 from foxtailworks.polling._messages import MESSAGES
 from foxtailworks.polling._messages import Notice
 from foxtailworks.polling._messages import PartRequest
@@ -47,6 +48,7 @@
     "MAX_OUTSTANDING",
     "MESSAGES",
     "DuePoll",
+    "Evacuation",
     "Followers",
     "LargeAnswers",
     "MissingParts",
--- a/foxtailworks/polling/_followers.py
+++ b/foxtailworks/polling/_followers.py
@@ -9,8 +9,9 @@
 MAX_FOLLOWERS = 4096
 """Maximum number of followers; further hosts poll without notices."""
 
-Versions = tuple[int, int]
-"""Version of the registry and revision of the routes."""
+Versions = tuple[int, int, int]
+"""Version of the registry, revision of the routes and number of the
+evacuation."""
 
 
 class Followers:
@@ -18,7 +19,7 @@
 
     def __init__(self) -> None:
         self._valid_until: dict[ids.Address, float] = {}
-        self._notified: Versions = (0, 0)
+        self._notified: Versions = (0, 0, 0)
         self._next_notice_at = 0.0
 
     def __len__(self) -> int:
--- a/foxtailworks/polling/_messages.py
+++ b/foxtailworks/polling/_messages.py
@@ -13,6 +13,16 @@
 _INDEX_BYTES = 2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """Zones whose upstreams get no new flows."""
+
+    number: int = 0
+    """Number that grows with each change; 0 before the first order."""
+    zones: tuple[ids.ZoneId, ...] = ()
+    """Evacuated zones."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Poll:
     """Request of an edge host for changed instances and routes."""
@@ -54,6 +64,8 @@
     """Whether this coordinator knows a leader, so that it isn't behind."""
     host_count: int = 0
     """Number of edge hosts that poll this coordinator; 0 if it isn't known."""
+    evacuation: Evacuation = Evacuation()
+    """Evacuation that is known to be committed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +78,8 @@
     """Latest version of the registry."""
     revision: int
     """Latest committed revision of the routes."""
+    evacuation: Evacuation = Evacuation()
+    """Evacuation that is known to be committed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +98,8 @@
     """Instances that several hosts suspect."""
     is_current: bool
     """Whether this coordinator knows a leader, so that it isn't behind."""
+    evacuation: Evacuation = Evacuation()
+    """Evacuation that is known to be committed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailworks/polling/tests/test_messages.py
+++ b/foxtailworks/polling/tests/test_messages.py
@@ -8,7 +8,10 @@
 
 CHANGES = discovery.Registry(1, 3.0).changes(0, 0)
 POLL = polling.Poll(ids.HostId("e1"), 1, 2, 3, (), True)
-ANSWER = polling.PollAnswer(CHANGES, 3, b"", (), (), False, 9)
+EVACUATION = polling.Evacuation(2, (ids.ZoneId("b"),))
+ANSWER = polling.PollAnswer(CHANGES, 3, b"", (), (), False, 9, EVACUATION)
+SUMMARY = polling.Summary(1, 2, 3, (), (), True, EVACUATION)
+NOTICE = polling.Notice(1, 2, 3, EVACUATION)
 
 
 def shortened(msg, count=1):
@@ -36,15 +39,24 @@
 
 
 def test_a_coordinator_of_the_last_release_tells_no_number_of_hosts():
-    found = polling.CODEC.decode(shortened(ANSWER))
+    found = polling.CODEC.decode(shortened(ANSWER, 2))
     assert found.host_count == 0
     assert not found.is_current
 
 
 def test_a_coordinator_of_the_release_before_counts_as_current():
-    assert polling.CODEC.decode(shortened(ANSWER, 2)).is_current
+    assert polling.CODEC.decode(shortened(ANSWER, 3)).is_current
 
 
 def test_fields_of_a_later_release_are_ignored():
-    for msg in (POLL, ANSWER, polling.Notice(1, 2, 3)):
+    for msg in (POLL, ANSWER, SUMMARY, NOTICE):
         assert polling.CODEC.decode(extended(msg)) == msg
+
+
+def test_a_coordinator_of_the_last_release_tells_of_no_evacuation():
+    for msg in (ANSWER, SUMMARY, NOTICE):
+        whole = polling.CODEC.decode(polling.CODEC.encode(msg))
+        assert whole.evacuation == EVACUATION
+        found = polling.CODEC.decode(shortened(msg))
+        assert found.evacuation == polling.Evacuation()
+        assert found.revision == 3
--- a/foxtailworks/polling/tests/test_schedule.py
+++ b/foxtailworks/polling/tests/test_schedule.py
@@ -184,16 +184,18 @@
     followers = polling.Followers()
     followers.on_poll(address(1), True, 0.0)
     followers.on_poll(address(2), False, 0.0)
-    assert followers.to_notify((1, 1), 0.1) == (address(1),)
-    assert followers.to_notify((1, 1), 0.3) == ()
-    assert followers.to_notify((2, 1), 0.4) == (address(1),)
+    assert followers.to_notify((1, 1, 0), 0.1) == (address(1),)
+    assert followers.to_notify((1, 1, 0), 0.3) == ()
+    assert followers.to_notify((2, 1, 0), 0.4) == (address(1),)
+    assert followers.to_notify((2, 1, 1), 0.7) == (address(1),)
 
 
 def test_changes_in_quick_succession_share_a_notice():
     followers = polling.Followers()
     followers.on_poll(address(1), True, 0.0)
     notified = [
-        followers.to_notify((number, 1), number / 100) for number in range(100)
+        followers.to_notify((number, 1, 0), number / 100)
+        for number in range(100)
     ]
     assert sum(map(len, notified)) <= 11
 
@@ -201,5 +203,5 @@
 def test_a_follower_that_stopped_polling_is_forgotten():
     followers = polling.Followers()
     followers.on_poll(address(1), True, 0.0)
-    assert followers.to_notify((1, 1), 9.0) == ()
+    assert followers.to_notify((1, 1, 0), 9.0) == ()
     assert len(followers) == 0
