Place no new flow in evacuated zones or on cold upstreams

Cause: from an order on, edge hosts must send no SYN to the zone, and 71 hosts that don't know one another's placements can't share the 5 requests a second that a cold upstream takes. Change: steering/_eligibility decides by zone, pause after a withdrawal and cold period; it is used for placements, retries, held SYNs, the backlog and a host's share of slots. A SYN waits in the backlog if a cold upstream gets warm before its caller gives up, and is reset at once otherwise. Edge hosts apply the evacuation of answers, summaries and notices. The limit is off unless edge.Settings.spares_cold is set. Measured: tests of steering, edge, coordinator, polling, discovery, warmstart, the layout and the adapter pass; in the model of 3 and 6 coordinators 12 hosts follow an order within 0.5 s.

--- a/foxtailworks/coordinator/tests/test_evacuation.py
+++ b/foxtailworks/coordinator/tests/test_evacuation.py
@@ -2,21 +2,28 @@
 
 import asyncio
 import errno
+import random
 
 import hypothesis
 from hypothesis import strategies as st
 import pytest
 
 from foxtailworks.coordinator import _hints
+from foxtailworks.coordinator import _start_reply
 from foxtailworks.coordinator.tests import test_promises
+from foxtailworks.coordinator.tests import test_start_reply
 from foxtailworks.coordinator.tests import world
+from foxtailworks import datagram
 from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks import polling
+from foxtailworks.steering.tests import encoded
 
 NORTH = ids.ZoneId("north")
 SOUTH = ids.ZoneId("south")
 NUMBERS = (1, 2, 3)
+TARGET_S = 1.0
+"""Time from an acknowledgement until all edge hosts in contact follow it."""
 POLL = polling.Poll(ids.HostId("e9"), 0, 0, 0)
 
 
@@ -223,3 +230,125 @@
     state = {NORTH in zones for zones in all_told(cluster)}
     assert len(state) == 1
     assert state <= possible
+
+
+def edge_zones(cluster):
+    return {host.steering.eligibility.zones for host in cluster.edges.values()}
+
+
+def start_with_edges(coordinators=3, edges=12):
+    cluster = world.World(coordinators)
+    for number in range(edges):
+        cluster.add_edge(number)
+    cluster.run(test_promises.SETTLE_S)
+    return cluster
+
+
+def seconds_until(cluster, zones):
+    """Return how long it takes until all edge hosts have ``zones``."""
+    start_at = cluster.now
+    while edge_zones(cluster) != {frozenset(zones)}:
+        cluster.step()
+        assert cluster.now - start_at < 10.0
+    return cluster.now - start_at
+
+
+@pytest.mark.parametrize("coordinators", [3, 6])
+def test_all_edge_hosts_follow_an_order_within_the_target(coordinators):
+    cluster = start_with_edges(coordinators)
+    for is_evacuated in (True, False):
+        assert order(cluster, NORTH, is_evacuated) is True
+        zones = (NORTH,) * is_evacuated
+        assert seconds_until(cluster, zones) <= TARGET_S / 2
+
+
+def test_hosts_follow_although_notices_are_lost():
+    cluster = start_with_edges()
+    cluster.loss_rate = 0.2
+    assert order(cluster, NORTH) is True
+    assert seconds_until(cluster, (NORTH,)) <= 5.0
+
+
+def test_hosts_keep_the_order_when_all_coordinators_lose_power():
+    cluster = start_with_edges()
+    assert order(cluster, NORTH) is True
+    seconds_until(cluster, (NORTH,))
+    cut_power(cluster)
+    for _ in range(60):
+        cluster.step()
+        assert edge_zones(cluster) == {frozenset((NORTH,))}
+
+
+def test_a_coordinator_that_lags_does_not_mislead_its_hosts():
+    cluster = start_with_edges()
+    lagging = next(
+        number_of(host.program)
+        for host in cluster.running()
+        if host.program is not cluster.leader()
+    )
+    cluster.partition({lagging}, set(NUMBERS) - {lagging})
+    assert order(cluster, NORTH) is True
+    # The hosts follow two coordinators each, and poll all.
+    assert seconds_until(cluster, (NORTH,)) <= 5.0
+    program = cluster.hosts[world.address(lagging)].program
+    assert told(program).zones == ()
+    cluster.run(3.0)
+    assert edge_zones(cluster) == {frozenset((NORTH,))}
+
+
+def test_a_host_cut_off_keeps_its_state_and_follows_after_the_return():
+    cluster = start_with_edges()
+    cut = world.edge_address(3)
+    cores = [world.address(number) for number in NUMBERS]
+    cluster.blocked = {(core, cut) for core in cores}
+    assert order(cluster, NORTH) is True
+    cluster.run(3.0)
+    eligibility = cluster.edges[cut].steering.eligibility
+    assert eligibility.zones == frozenset()
+    cluster.heal()
+    assert seconds_until(cluster, (NORTH,)) <= TARGET_S + 2 * world.STEP_S
+
+
+def test_a_host_that_starts_from_an_old_reply_learns_the_order(tmp_path):
+    cluster = world.World(3, folder=tmp_path)
+    cluster.run(test_promises.SETTLE_S)
+    assert test_promises.put(cluster, 7) is True
+    cluster.run(2.0)
+    registry = cluster.leader().registry
+    old = _start_reply.make_reply(
+        registry_instances(registry),
+        7,
+        encoded.encode(world.read_table(b"document 7")),
+        tuple(cluster.hosts),
+        12,
+        polling.Evacuation(),
+        random.Random(1),
+    )
+    assert order(cluster, NORTH) is True
+    host = cluster.add_edge(1)
+    started = datagram.Endpoint(polling.CODEC, host.receive, lambda: 0.0)
+    started.attach(test_start_reply.Recorder())
+    for item in old.datagrams:
+        started.receive(item, world.address(1))
+    assert host.steering.revision == 7
+    assert host.steering.eligibility.zones == frozenset()
+    assert seconds_until(cluster, (NORTH,)) <= TARGET_S
+
+
+def registry_instances(registry):
+    return tuple(item.instance for item in registry.listed())
+
+
+def test_the_saved_reply_tells_of_the_zones():
+    evacuation = polling.Evacuation(2, (NORTH,))
+    reply = _start_reply.make_reply(
+        (), 7, b"", (), 12, evacuation, random.Random(1)
+    )
+    received = []
+    endpoint = datagram.Endpoint(
+        polling.CODEC, lambda msg, _: received.append(msg), lambda: 0.0
+    )
+    endpoint.attach(test_start_reply.Recorder())
+    for item in (*reply.datagrams, *reply.summaries):
+        endpoint.receive(item, world.address(1))
+    assert [msg.evacuation for msg in received] == [evacuation] * 2
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -42,6 +42,10 @@
     """UDP address that receives the coordinators' answers."""
     seeds: tuple[ids.Address, ...]
     """Listen addresses of the coordinators that are polled first."""
+    spares_cold: bool = False
+    """Whether cold upstreams get no new flows."""
+    heartbeat_s: float = 1.2
+    """Interval of upstreams' heartbeats in seconds."""
 
     def __post_init__(self) -> None:
         """Reject settings without a seed coordinator."""
@@ -70,7 +74,14 @@
         self._cfg = cfg
         self._clock = clock
         self.roster = discovery.Roster()
-        self.steering = steering.Steering(self.roster, cfg.zone, rng)
+        self.steering = steering.Steering(
+            self.roster,
+            cfg.zone,
+            rng,
+            steering.Config(
+                spares_cold=cfg.spares_cold, heartbeat_s=cfg.heartbeat_s
+            ),
+        )
         self._tables = steering.TableDecoder()
         self._needs_whole_table = False
         self._started_at = clock()
@@ -127,6 +138,14 @@
                 "Packets that wait for their upstream or for room.",
                 float(self.steering.waiting_count),
             ),
+            "evacuated_zones": (
+                "Zones whose upstreams get no new flows.",
+                float(len(self.steering.eligibility.zones)),
+            ),
+            "evacuation_number": (
+                "Evacuation in force.",
+                float(self.steering.eligibility.number),
+            ),
         }
         return _scrape.render(self._audit.metrics, gauges)
 
@@ -191,7 +210,8 @@
         self._transfers.on_parts_gone(src, msg.number)
 
     def on_notice(self, msg: polling.Notice, src: ids.Address) -> None:
-        """Poll a coordinator that has something new."""
+        """Apply an evacuation; poll a coordinator that has something new."""
+        self._put_evacuation(msg.evacuation, src)
         has_changes = self.roster.position(src) != (
             msg.session,
             msg.registry_version,
@@ -290,6 +310,20 @@
             _EVENTS.info("coordinator_regained", coordinator=src)
         self.steering.suspicions.put_suspected(msg.suspected, now)
         self._schedule.add(msg.coordinators, now)
+        self._put_evacuation(msg.evacuation, src)
+
+    def _put_evacuation(
+        self, evacuation: polling.Evacuation, src: ids.Address
+    ) -> None:
+        """Put an evacuation in force unless a later one already is."""
+        number, zones = evacuation.number, evacuation.zones
+        if self.steering.put_evacuation(number, zones, self._clock()):
+            _EVENTS.info(
+                "evacuation_in_force",
+                number=number,
+                zones=",".join(zones),
+                coordinator=src,
+            )
 
 
 @functools.singledispatch
--- a/foxtailworks/steering/_backlog.py
+++ b/foxtailworks/steering/_backlog.py
@@ -33,6 +33,11 @@
     expires_at: float
     """Time at which the caller repeats it or has timed out."""
 
+    @classmethod
+    def of(cls, held: _pending.HeldSyn) -> "Waiting":
+        """Return a SYN that waits, with the times that its caller follows."""
+        return cls(held.syn, held.sent_at, held.expires_at)
+
 
 class Backlog:
     """What waited; a repetition of a packet replaces the earlier one."""
@@ -59,7 +64,7 @@
     def take(
         self,
         route_of: abc.Callable[[ids.Address], _routes.Route | None],
-        take_room: abc.Callable[[Item], bool],
+        take_room: abc.Callable[[Waiting], bool],
         now: float,
     ) -> abc.Iterator[Waiting]:
         """Remove and yield the packets to pass on now, the best first.
@@ -77,7 +82,7 @@
         ordered = sorted(alive, key=lambda pair: _rank(pair[0], pair[1], now))
         self._waiting = {}
         for waiting, _ in ordered:
-            if take_room(waiting.item):
+            if take_room(waiting):
                 yield waiting
             else:
                 self._waiting[_key(waiting.item)] = waiting
--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -63,3 +63,12 @@
     """Maximum number of flows in the table."""
     cold_load: float = 0.5
     """Load, in flows per slot, added to a cold upstream."""
+    spares_cold: bool = False
+    """Whether a cold upstream gets no new flow at all."""
+    heartbeat_s: float = 1.2
+    """Interval of upstreams' heartbeats."""
+    readmission_heartbeats: int = 2
+    """Heartbeats of an upstream that are awaited after the evacuation of its
+    zone; the first one may have been sent before its end."""
+    readmission_slack_s: float = 0.5
+    """Time for a heartbeat to be relayed and to reach this host."""
--- a/foxtailworks/steering/_events.py
+++ b/foxtailworks/steering/_events.py
@@ -122,6 +122,43 @@
         else:
             self._events.append(event)
 
+    def add_rejected(
+        self,
+        flow: _flows.FlowKey,
+        destination: ids.Address,
+        token: int,
+        decision: _decisions.Reset | _decisions.Drop,
+        revision: int,
+    ) -> None:
+        """Add an event for a packet that isn't forwarded."""
+        was_reset = isinstance(decision, _decisions.Reset)
+        self.add(
+            Rejected(
+                flow, destination, decision.reason, was_reset, token, revision
+            )
+        )
+
+    def add_expired(
+        self, key: _flows.FlowKey, flow: _flows.Flow, now: float
+    ) -> None:
+        """Add an event for an expired flow, unless it was closed before."""
+        if flow.phase is _flows.Phase.OPENING:
+            self.add_ended(key, flow, Ending.UNOPENED, now)
+        elif flow.phase is _flows.Phase.OPEN:
+            self.add_ended(key, flow, Ending.IDLE, now)
+
+    def add_ended(
+        self,
+        key: _flows.FlowKey,
+        flow: _flows.Flow,
+        ending: Ending,
+        now: float,
+    ) -> None:
+        """Add an event for the end of a flow."""
+        lasted_s = now - flow.placed_at if flow.placed_at else None
+        tried = len(flow.tried)
+        self.add(Ended(key, flow.upstream, ending, tried, lasted_s))
+
     def take(self) -> list[Event]:
         """Return and remove the events since the last call."""
         events, self._events = self._events, []
--- a/foxtailworks/steering/_pending.py
+++ b/foxtailworks/steering/_pending.py
@@ -86,6 +86,13 @@
         slack_s = self._cfg.retransmission_slack_s
         return HeldSyn(syn, now - sent_s, now + next_s - sent_s + slack_s)
 
+    def gives_up_at(self, sent_at: float) -> float:
+        """Return when the caller of a SYN times out.
+
+        :param sent_at: time when it sent the SYN first
+        """
+        return sent_at + self._cfg.retransmissions_s[-1]
+
     def release(self, now: float) -> abc.Iterator[HeldSyn]:
         """Yield the held SYNs that haven't expired, and clear the table."""
         held, self._held = self._held, {}
--- a/foxtailworks/steering/_share.py
+++ b/foxtailworks/steering/_share.py
@@ -9,6 +9,7 @@
 from foxtailworks import discovery
 from foxtailworks import ids
 from foxtailworks.steering import _config
+from foxtailworks.steering import _eligibility
 from foxtailworks.steering import _flows
 
 MIN_FLOWS = 1.0
@@ -23,6 +24,7 @@
 
     :param roster: instances with their slots
     :param load: returns the load of this host's flows on an upstream
+    :param eligibility: tells which upstreams may get new flows
     """
 
     def __init__(
@@ -30,10 +32,12 @@
         roster: discovery.Roster,
         load: abc.Callable[[_flows.InstanceKey], float],
         config: _config.Config,
+        eligibility: _eligibility.Eligibility,
     ) -> None:
         self._roster = roster
         self._load = load
         self._cfg = config
+        self._eligibility = eligibility
         self.host_count = 0
         """Number of edge hosts; 0 while it isn't known."""
 
@@ -41,7 +45,8 @@
         """Return how many flows may be added to a service."""
         if not self.host_count:
             return float("inf")
-        instances = [i.instance for i in self._roster.of_service(service, now)]
+        ready = self._roster.of_service(service, now)
+        instances = [i.instance for i in self._eligibility.select(ready, now)]
         slots = sum(item.slots for item in instances)
         load = sum(self._load(item.key) for item in instances)
         share = self._cfg.backlog_load * slots / self.host_count
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -2,14 +2,17 @@
 
 from collections import abc
 import dataclasses
+import functools
 import random
 
 from foxtailworks import discovery
 from foxtailworks import ids
 from foxtailworks.steering import _backlog
+from foxtailworks.steering import _candidates
 from foxtailworks.steering import _choice
 from foxtailworks.steering import _config
 from foxtailworks.steering import _decisions
+from foxtailworks.steering import _eligibility
 from foxtailworks.steering import _events
 from foxtailworks.steering import _flows
 from foxtailworks.steering import _held_packets
@@ -51,7 +54,6 @@
         self._cfg = config or _config.Config()
         self._roster = roster
         self._zone = zone
-        self._rng = rng
         self._tokens = _tokens.TokenIndex(roster)
         self._flows = _flows.Flows(self._cfg)
         self.suspicions = _suspicion.SuspicionTracker(self._cfg)
@@ -60,7 +62,14 @@
         self._held = _held_packets.HeldPackets(self._cfg)
         self._tried_version = -1
         self._backlog = _backlog.Backlog()
-        self.share = _share.HostShare(roster, self._flows.load, self._cfg)
+        self.eligibility = _eligibility.Eligibility(self._cfg)
+        """Upstreams that may get a new flow, by zone and warmth."""
+        self._candidates = _candidates.Candidates(
+            roster, self._tokens, self.eligibility, rng
+        )
+        self.share = _share.HostShare(
+            roster, self._flows.load, self._cfg, self.eligibility
+        )
         """Share of the slots that this host may fill with what waited."""
         self._chooser = _choice.Chooser(self._flows.load, zone, rng, self._cfg)
         self._routes: dict[ids.Address, _routes.Route] = {}
@@ -91,11 +100,29 @@
         self._routes = {item.destination: item for item in table.routes}
         return True
 
+    def put_evacuation(
+        self, number: int, zones: abc.Iterable[ids.ZoneId], now: float
+    ) -> bool:
+        """Give no new flow to upstreams of ``zones`` from now on.
+
+        :return: false when this or a later evacuation already is in force
+        """
+        return self.eligibility.put(number, zones, now)
+
     def open(self, syn: _pending.Syn, now: float) -> _decisions.Decision:
-        """Place a SYN, or hold it until routes are known."""
-        decision = self._decide_syn(syn, now)
+        """Place a SYN, or hold it until it can be placed."""
+        waiting = _backlog.Waiting.of(self._pending.as_held(syn, now))
+        return self._open(syn, waiting, now)
+
+    def _open(
+        self, syn: _pending.Syn, waiting: _backlog.Waiting, now: float
+    ) -> _decisions.Decision:
+        """Decide on a SYN, which waits as ``waiting`` if it is held."""
+        decision = self._decide_syn(syn, waiting, now)
         if not isinstance(decision, _decisions.Forward):
-            self._record_rejection(syn.flow, syn.destination, 0, decision)
+            self.events.add_rejected(
+                syn.flow, syn.destination, 0, decision, self.revision
+            )
         return decision
 
     def forward(
@@ -107,32 +134,17 @@
             expires_at = now + self._cfg.packet_hold_s
             self._held.hold(packet, expires_at)
         if not isinstance(decision, _decisions.Forward):
-            self._record_rejection(
-                packet.flow, packet.destination, packet.token, decision
-            )
-        return decision
-
-    def _record_rejection(
-        self,
-        flow: _flows.FlowKey,
-        destination: ids.Address,
-        token: int,
-        decision: _decisions.Reset | _decisions.Drop,
-    ) -> None:
-        """Add an event for a packet that isn't forwarded."""
-        self.events.add(
-            _events.Rejected(
-                flow,
-                destination,
-                decision.reason,
-                isinstance(decision, _decisions.Reset),
-                token,
+            self.events.add_rejected(
+                packet.flow,
+                packet.destination,
+                packet.token,
+                decision,
                 self.revision,
             )
-        )
+        return decision
 
     def _decide_syn(
-        self, syn: _pending.Syn, now: float
+        self, syn: _pending.Syn, waiting: _backlog.Waiting, now: float
     ) -> _decisions.Decision:
         """Decide whether a SYN is placed, held, dropped or reset."""
         if not self.revision:
@@ -146,12 +158,10 @@
                 return _decisions.Drop(_Reason.NO_ROUTE)
             return _decisions.Reset(_Reason.NO_ROUTE)
         if syn.flow in self._backlog:
-            held = self._pending.as_held(syn, now)
-            self._backlog.put(
-                _backlog.Waiting(syn, held.sent_at, held.expires_at)
-            )
+            self._backlog.put(waiting)
             return _decisions.Drop(_Reason.WAITING)
-        return self._place(syn, route, now)
+        decision = self._place(syn, route, now)
+        return decision or self._hold_or_reset(waiting, route, now)
 
     def _decide_packet(
         self, packet: _held_packets.Packet, now: float
@@ -174,7 +184,7 @@
     def on_tick(self, now: float) -> abc.Iterator[DuePacket]:
         """Expire flows; yield the SYNs to place now."""
         for key, flow in self._flows.expire(now):
-            self._record_expired(key, flow, now)
+            self.events.add_expired(key, flow, now)
         yield from self._release(now)
         for placed in self._pending.take_unanswered(now):
             yield from self._place_elsewhere(placed, now)
@@ -184,20 +194,23 @@
         if not self.revision:
             return
         for held in self._pending.release(now):
-            self._backlog.put(
-                _backlog.Waiting(held.syn, held.sent_at, held.expires_at)
-            )
+            self._backlog.put(_backlog.Waiting.of(held))
         self._move_known_packets(now)
         if not self._backlog:
             return
         room = _share.Room(self.share, now)
+        opens_at = functools.cache(
+            lambda route: self._candidates.opens_at(route, now)
+        )
         due = self._backlog.take(
-            self._routes.get, lambda item: self._takes_room(item, room), now
+            self._routes.get,
+            lambda item: self._takes_room(item, room, opens_at, now),
+            now,
         )
         for waiting in due:
             item = waiting.item
             if isinstance(item, _pending.Syn):
-                yield DuePacket(item.packet, self.open(item, now))
+                yield DuePacket(item.packet, self._open(item, waiting, now))
             else:
                 yield DuePacket(item.packet, self._decide_packet(item, now))
 
@@ -214,11 +227,27 @@
             sent_at = expires_at - self._cfg.packet_hold_s
             self._backlog.put(_backlog.Waiting(packet, sent_at, expires_at))
 
-    def _takes_room(self, item: _backlog.Item, room: _share.Room) -> bool:
-        """Take room for a packet that begins work at an upstream."""
+    def _takes_room(
+        self,
+        waiting: _backlog.Waiting,
+        room: _share.Room,
+        opens_at: abc.Callable[[_routes.Route], float],
+        now: float,
+    ) -> bool:
+        """Take room for a packet that begins work at an upstream.
+
+        A SYN stays while only cold upstreams are left; one that no upstream
+        can take in time any more is passed on, to be reset.
+        """
+        item = waiting.item
         route = self._routes.get(item.destination)
-        begins_work = isinstance(item, _pending.Syn) or item.has_data
-        if route is None or not begins_work:
+        if route is None:
+            return True
+        if isinstance(item, _pending.Syn):
+            ready_at = opens_at(route)
+            if ready_at > now:
+                return ready_at >= self._pending.gives_up_at(waiting.sent_at)
+        elif not item.has_data:
             return True
         return room.take(route.shares[0].service)
 
@@ -254,29 +283,30 @@
             or len(flow.tried) >= self._cfg.max_proactive_attempts
         ):
             return
-        untried = self._untried_upstreams(flow, route, now)
-        if untried:
-            yield DuePacket(syn.packet, self._place(syn, route, now))
+        if self._candidates.untried(flow, route, now):
+            decision = self._place(syn, route, now)
+            refusal = _decisions.Reset(_Reason.NO_UPSTREAM)
+            yield DuePacket(syn.packet, decision or refusal)
 
     def _place(
         self, syn: _pending.Syn, route: _routes.Route, now: float
-    ) -> _decisions.Decision:
-        """Place a SYN on the best upstream.
+    ) -> _decisions.Forward | None:
+        """Place a SYN on the best upstream; return None if there is none.
 
         After an unanswered first attempt upstreams of the own zone are
         preferred: a partition between zones is the likeliest fault that
         affects many upstreams at once.
         """
         flow = self._flows.find_unclosed(syn.flow)
-        candidates = self._untried_upstreams(flow, route, now)
+        candidates = self._candidates.untried(flow, route, now)
         if not candidates:
-            candidates = self._usable_upstreams(route, now)
+            candidates = self._candidates.usable(route, now)
         is_retry = flow is not None
         chosen = self._chooser.choose(
             candidates, lambda item: self._penalty(item, is_retry, now)
         )
         if chosen is None:
-            return _decisions.Reset(_Reason.NO_UPSTREAM)
+            return None
         key = chosen.instance.key
         self.events.add(
             _events.Placed(
@@ -294,6 +324,17 @@
         self._pending.on_placed(syn, key, now)
         return _decisions.Forward(chosen.instance, _tokens.token_of(*key))
 
+    def _hold_or_reset(
+        self, waiting: _backlog.Waiting, route: _routes.Route, now: float
+    ) -> _decisions.Decision:
+        """Hold a SYN that an upstream can take in time; reset others."""
+        ready_at = self._candidates.next_ready_at(route, now)
+        is_in_time = ready_at < self._pending.gives_up_at(waiting.sent_at)
+        if not is_in_time or len(self._backlog) >= self._cfg.max_held_syns:
+            return _decisions.Reset(_Reason.NO_UPSTREAM)
+        self._backlog.put(waiting)
+        return _decisions.Drop(_Reason.WAITING)
+
     def _penalty(
         self, item: discovery.KnownInstance, is_retry: bool, now: float
     ) -> float:
@@ -327,7 +368,7 @@
                 self._pending.on_answered(after_s)
         if packet.has_ended:
             if flow is not None and flow.phase is not _flows.Phase.CLOSED:
-                self._record_ended(
+                self.events.add_ended(
                     packet.flow, flow, _events.Ending.CLOSED, now
                 )
             self._flows.on_closed(packet.flow, upstream, now)
@@ -342,73 +383,11 @@
                 packet.flow, upstream, expires_at, busy_until
             )
 
-    def _record_expired(
-        self, key: _flows.FlowKey, flow: _flows.Flow, now: float
-    ) -> None:
-        """Add an event for an expired flow, unless it was closed before."""
-        if flow.phase is _flows.Phase.OPENING:
-            self._record_ended(key, flow, _events.Ending.UNOPENED, now)
-        elif flow.phase is _flows.Phase.OPEN:
-            self._record_ended(key, flow, _events.Ending.IDLE, now)
-
-    def _record_ended(
-        self,
-        key: _flows.FlowKey,
-        flow: _flows.Flow,
-        ending: _events.Ending,
-        now: float,
-    ) -> None:
-        """Add an event for the end of a flow."""
-        lasted_s = now - flow.placed_at if flow.placed_at else None
-        self.events.add(
-            _events.Ended(
-                key, flow.upstream, ending, len(flow.tried), lasted_s
-            )
-        )
-
     def reportable_suspects(
         self, now: float
     ) -> tuple[_flows.InstanceKey, ...]:
-        """Return the suspected upstreams to report to other hosts.
-
-        Empty while this host suspects more than half of all upstreams: then
-        it is most likely partitioned itself, or was stopped for a while.
-        """
-        suspects = self.suspicions.local_suspects(now)
-        if not suspects:
-            return ()
-        live = sum(
-            self._roster.is_presumed_live(item, now)
-            for item in self._roster.all()
-        )
-        return suspects if 2 * len(suspects) <= live else ()
-
-    def _usable_upstreams(
-        self, route: _routes.Route, now: float
-    ) -> list[discovery.KnownInstance]:
-        """Return the ready upstreams of a service drawn by weight."""
-        service = self._draw_service(route)
-        return [
-            item
-            for item in self._roster.of_service(service, now)
-            if self._tokens.is_unique(item)
-        ]
-
-    def _untried_upstreams(
-        self, flow: _flows.Flow | None, route: _routes.Route, now: float
-    ) -> list[discovery.KnownInstance]:
-        """Return the upstreams that a flow's SYN hasn't been sent to."""
-        usable = self._usable_upstreams(route, now)
-        tried = flow.tried if flow is not None else ()
-        return [item for item in usable if item.instance.key not in tried]
-
-    def _draw_service(self, route: _routes.Route) -> ids.ServiceId:
-        """Draw a service at random by the weights of a route."""
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        weights = [item.weight for item in route.shares]
-        share = self._rng.choices(route.shares, weights)[0]
-        return share.service
+        """Return the suspected upstreams to report to other hosts."""
+        return self.suspicions.reportable(self._roster, now)
 
 
 def _may_be_forwarded_later(decision: _decisions.Decision) -> bool:
--- a/foxtailworks/steering/_suspicion.py
+++ b/foxtailworks/steering/_suspicion.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 
+from foxtailworks import discovery
 from foxtailworks.steering import _config
 from foxtailworks.steering import _flows
 
@@ -60,6 +61,20 @@
             if now < suspicion.suspected_until
         )
 
+    def reportable(
+        self, roster: discovery.Roster, now: float
+    ) -> tuple[_flows.InstanceKey, ...]:
+        """Return the upstreams that this host suspects, to report them.
+
+        Empty while this host suspects more than half of all upstreams: then
+        it is most likely partitioned itself, or was stopped for a while.
+        """
+        suspects = self.local_suspects(now)
+        if not suspects:
+            return ()
+        live = sum(roster.is_presumed_live(i, now) for i in roster.all())
+        return suspects if 2 * len(suspects) <= live else ()
+
     def put_suspected(
         self, keys: abc.Iterable[_flows.InstanceKey], now: float
     ) -> None:
