--- a/foxtailworks/coordinator/__init__.py
+++ b/foxtailworks/coordinator/__init__.py
@@ -17,6 +17,7 @@
 from foxtailworks.coordinator._program import Coordinator
 from foxtailworks.coordinator._program import opened
 from foxtailworks.coordinator._settings import Settings
+from foxtailworks.coordinator._undecided import undecided_response
 
 __all__ = [
     "CODEC",
@@ -24,4 +25,5 @@
     "Documents",
     "Settings",
     "opened",
+    "undecided_response",
 ]
--- a/foxtailworks/httpd/__init__.py
+++ b/foxtailworks/httpd/__init__.py
@@ -11,10 +11,20 @@
         ...
 """
 
+from foxtailworks.httpd._responses import error_response
+from foxtailworks.httpd._responses import redirect
 from foxtailworks.httpd._server import Limits
 from foxtailworks.httpd._server import page
 from foxtailworks.httpd._server import Request
 from foxtailworks.httpd._server import Response
 from foxtailworks.httpd._server import serve
 
-__all__ = ["Limits", "Request", "Response", "page", "serve"]
+__all__ = [
+    "Limits",
+    "Request",
+    "Response",
+    "error_response",
+    "page",
+    "redirect",
+    "serve",
+]
--- a/foxtailworks/service/__init__.py
+++ b/foxtailworks/service/__init__.py
@@ -17,6 +17,7 @@
 from foxtailworks.service._service import reload_on_change
 from foxtailworks.service._service import run
 from foxtailworks.service._service import run_periodically
+from foxtailworks.service._service import warn_missing
 from foxtailworks.service._service import warn_unknown
 
 __all__ = [
@@ -25,5 +26,6 @@
     "reload_on_change",
     "run",
     "run_periodically",
+    "warn_missing",
     "warn_unknown",
 ]
--- a/foxtailworks/service/_service.py
+++ b/foxtailworks/service/_service.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import functools
 import os
 import pathlib
 import signal
@@ -158,4 +159,18 @@
     """
     for name in names:
         if name not in known:
-            _EVENTS.warning("setting_unknown", what=what, name=name)
+            _warn_once("setting_unknown", what, name)
+
+
+def warn_missing(what: str, name: str) -> None:
+    """Log a value without which a part of the settings has no effect.
+
+    :param what: part of the settings
+    """
+    _warn_once("setting_missing", what, name)
+
+
+@functools.lru_cache(maxsize=256)
+def _warn_once(event: str, what: str, name: str) -> None:
+    """Log a setting the first time; the file is read again at a change."""
+    _EVENTS.warning(event, what=what, name=name)
