--- a/foxtailworks/service/_service.py
+++ b/foxtailworks/service/_service.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import abc
 import contextlib
-import functools
 import os
 import pathlib
 import signal
@@ -148,29 +147,3 @@
         _EVENTS.warning("settings_unseen", reason=exc.strerror)
         return None
     return status.st_mtime_ns, status.st_size, status.st_ino
-
-
-def warn_unknown(
-    what: str, names: abc.Iterable[str], known: abc.Set[str]
-) -> None:
-    """Log the names in a settings file that this release doesn't know.
-
-    :param what: what the names stand for
-    """
-    for name in names:
-        if name not in known:
-            _warn_once("setting_unknown", what, name)
-
-
-def warn_missing(what: str, name: str) -> None:
-    """Log a value without which a part of the settings has no effect.
-
-    :param what: part of the settings
-    """
-    _warn_once("setting_missing", what, name)
-
-
-@functools.lru_cache(maxsize=256)
-def _warn_once(event: str, what: str, name: str) -> None:
-    """Log a setting the first time; the file is read again at a change."""
-    _EVENTS.warning(event, what=what, name=name)
