Model uploads over a slow link; test the link's queue and its parts

Change: bench part "link" plays uploads of 17 packets, small requests and polls in virtual time over a link whose own queue drops, with direct sending, the whole queue, and the queue without bands, turns or with other rates.

--- a/foxtailworks/bench/__main__.py
+++ b/foxtailworks/bench/__main__.py
@@ -13,6 +13,7 @@
 from foxtailworks.bench import _distribution
 from foxtailworks.bench import _figure
 from foxtailworks.bench import _limits
+from foxtailworks.bench import _link_queue
 from foxtailworks.bench import _packets
 from foxtailworks.bench import _placement
 from foxtailworks.bench import _requests
@@ -24,6 +25,7 @@
     "requests": _requests.figures,
     "limits": _limits.figures,
     "choosing": _choosing.figures,
+    "link": _link_queue.figures,
     "placement": _placement.run,
 }
 
--- a/foxtailworks/shaping/__init__.py
+++ b/foxtailworks/shaping/__init__.py
@@ -2,8 +2,8 @@
 
 Load that it is designed for: a link of 2 Mbit/s, over which uploads of 20 KB
 are forwarded.  Such an upload is 17 packets of 1.2 KB that arrive at once,
-while a packet takes 4.8 ms on the link.  Forwarded at once, most of them are
-dropped by the link's own small queue, and each loss costs the caller a
+while a packet takes 4.8 ms on the link.  Forwarded at once, those that exceed
+the link's own small queue are dropped, and each loss costs the caller a
 retransmission after 200 ms.  Small packets of other flows arrive among them.
 
 The decisions have no socket, clock or timer: packets and times go in, the
--- a/foxtailworks/shaping/tests/test_shaper.py
+++ b/foxtailworks/shaping/tests/test_shaper.py
@@ -11,7 +11,7 @@
 
 TARGET = ids.Address("10.0.1.1", 80)
 LINK = 250_000.0
-RATE = LINK * _shaper.RATE_SHARE
+RATE = 237_500.0
 FULL = _packet.FULL_BYTES
 SMALL = 72
 
@@ -182,8 +182,9 @@
     driven = DrivenShaper()
     put_all(driven, "small", range(3), size=SMALL)
     put_all(driven, "short", range(5))
-    put_all(driven, "long", range(100))
-    put_all(driven, "small", range(10, 50), size=SMALL)
+    for number in range(100):
+        driven.put(packet("long", number), number * 1e-6)
+    put_all(driven, "small", range(10, 50), 0.0001, SMALL)
     assert driven.shaper.queued_bytes <= _shaper.MAX_QUEUED_BYTES
     assert driven.dropped(shaping.DropReason.FULL) > 50
     driven.drain()
@@ -193,6 +194,22 @@
     assert kept == list(range(100 - len(kept), 100))
 
 
+def test_a_copy_is_not_the_oldest_and_does_not_lengthen_its_flow():
+    """Guards against dropping what its caller has just sent again."""
+    driven = DrivenShaper()
+    put_all(driven, "short", range(7))
+    put_all(driven, "long", range(40))
+    for _ in range(50):
+        put_all(driven, "short", range(2, 7), 0.001)
+    driven.put(packet("long", 0), 0.001)
+    put_all(driven, "long", range(40, 60), 0.002)
+    driven.drain()
+    assert driven.flows().count("short") == 7
+    numbers = [number_of(s) for _, s in driven.sent if s.flow == b"long"]
+    assert numbers[0] == 0
+    assert numbers[1:] == list(range(61 - len(numbers), 60))
+
+
 def test_small_packets_are_bounded_too():
     """Guards against unbounded memory under a flood of SYNs."""
     driven = DrivenShaper()
@@ -275,4 +292,6 @@
     put_all(driven, "small", range(3), size=SMALL)
     assert len(driven.shaper.flush()) == 11
     assert driven.shaper.queued_bytes == 0
+    put_all(driven, "small", range(3, 6), size=SMALL)
+    assert len(driven.shaper.flush()) == 3
     assert driven.shaper.flush() == ()
