Test that notices carry evacuations, and the limit while it is off

Cause: two planted faults, a notice without zones and a change that isn't notified, passed: hosts without routes poll every 60 ms. A third, cold upstreams spared although the limit is off, passed while no zone was evacuated. Change: hosts get routes first; the limit is tested beside an evacuation.

--- a/foxtailworks/coordinator/tests/test_evacuation.py
+++ b/foxtailworks/coordinator/tests/test_evacuation.py
@@ -241,6 +241,9 @@
     for number in range(edges):
         cluster.add_edge(number)
     cluster.run(test_promises.SETTLE_S)
+    # Hosts without routes poll so often that they need no notices.
+    assert test_promises.put(cluster, 7) is True
+    cluster.run(3.0)
     return cluster
 
 
--- a/foxtailworks/steering/tests/test_eligibility.py
+++ b/foxtailworks/steering/tests/test_eligibility.py
@@ -240,6 +240,8 @@
     host = Host(steering.Config())
     host.announce("cold", cold_ms=2000)
     assert host.names() == {"cold"}
+    host.steering.put_evacuation(1, (FAR,), host.now)
+    assert host.names() == {"cold"}
 
 
 def test_a_syn_waits_for_a_cold_upstream_that_is_warm_in_time():
