--- a/foxtailworks/bench/_keeper_faults.py
+++ b/foxtailworks/bench/_keeper_faults.py
@@ -87,14 +87,19 @@
     require(isinstance(answer, contracts.Refused) and answer.code in codes)
 
 
+async def _restart_leader(ledger: Ledger) -> None:
+    """Kill the leader, make edits and start it again."""
+    leader_index = await ledger.fleet.leader()
+    await ledger.fleet.kill(leader_index)
+    await ledger.edit(5)
+    await ledger.fleet.start_keeper(leader_index)
+
+
 async def leader_killed(ledger: Ledger) -> None:
     """Kill and restart the leader between edits, three times."""
     for _ in range(3):
         await ledger.edit(5)
-        leader_index = await ledger.fleet.leader()
-        await ledger.fleet.kill(leader_index)
-        await ledger.edit(5)
-        await ledger.fleet.start_keeper(leader_index)
+        await _restart_leader(ledger)
 
 
 async def leader_frozen(ledger: Ledger) -> None:
@@ -158,10 +163,7 @@
         contracts.ReplaceKeeper, old, listen_address
     )
     require(replacement.keeper != old)
-    leader_index = await ledger.fleet.leader()
-    await ledger.fleet.kill(leader_index)
-    await ledger.edit(5)
-    await ledger.fleet.start_keeper(leader_index)
+    await _restart_leader(ledger)
 
 
 async def keeper_added_and_removed(ledger: Ledger) -> None:
