Collect hosts' load at coordinators and send its sum to hosts

Change: LoadReport (10) and LoadView (11), five bytes an upstream; coordinators exchange sums in LoadSum (30), which are valid for 1 s. They send their sums at the moment of the one with the lowest address, and views a tick later, so that a view is younger at the same cost. Off by default. Malformed messages and those of unknown senders are counted and dropped.

--- a/foxtailworks/coordinator/_dispatch.py
+++ b/foxtailworks/coordinator/_dispatch.py
@@ -31,6 +31,11 @@
     ) -> None:
         """Handle an edge host's request for parts of a large answer."""
 
+    def on_load(
+        self, msg: polling.LoadReport | _messages.LoadSum, src: ids.Address
+    ) -> None:
+        """Handle the load that a host or a coordinator reports."""
+
 
 @functools.singledispatch
 def dispatch(msg: object, handler: Handler, src: ids.Address) -> None:
@@ -63,3 +68,13 @@
 @dispatch.register
 def _(msg: polling.PartRequest, handler: Handler, src: ids.Address) -> None:
     handler.on_part_request(msg, src)
+
+
+@dispatch.register(polling.LoadReport)
+@dispatch.register(_messages.LoadSum)
+def _(
+    msg: polling.LoadReport | _messages.LoadSum,
+    handler: Handler,
+    src: ids.Address,
+) -> None:
+    handler.on_load(msg, src)
--- a/foxtailworks/coordinator/_edge_hosts.py
+++ b/foxtailworks/coordinator/_edge_hosts.py
@@ -117,6 +117,10 @@
             return self._cached_summary(state)
         return datagrams[: msg.max_parts]
 
+    def is_follower(self, address: ids.Address) -> bool:
+        """Return whether a host follows this coordinator."""
+        return address in self._followers
+
     def encoded_parts(
         self, msg: polling.PartRequest
     ) -> tuple[bytes, ...] | None:
--- a/foxtailworks/coordinator/_messages.py
+++ b/foxtailworks/coordinator/_messages.py
@@ -53,8 +53,28 @@
     """Newest heartbeat of each instance."""
 
 
+MAX_SUMMED = 4096
+"""Maximum number of upstreams in a sum, above the 3,900 of the largest
+deployment."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSum:
+    """Requests in progress of the hosts that report to one coordinator."""
+
+    loads: bytes
+    """Packed counts by token of the upstream, at most ``MAX_SUMMED``; see
+    ``polling.pack_loads``."""
+
+
 CODEC = wire.Codec(
-    {1: Presence, 2: ConsensusMessage, 3: Heartbeats, **polling.MESSAGES},
+    {
+        1: Presence,
+        2: ConsensusMessage,
+        3: Heartbeats,
+        30: LoadSum,
+        **polling.MESSAGES,
+    },
     limit=4 << 20,
 )
 
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -13,6 +13,7 @@
 from foxtailworks.coordinator import _group
 from foxtailworks.coordinator import _hints
 from foxtailworks.coordinator import _instance_log
+from foxtailworks.coordinator import _load
 from foxtailworks.coordinator import _messages
 from foxtailworks.coordinator import _peers
 from foxtailworks.coordinator import _settings
@@ -81,6 +82,12 @@
         self._edge_hosts = _edge_hosts.EdgeHosts(
             self.registry, self._peers, read_table, self._encode, rng
         )
+        self._load = _load.LoadExchange(
+            cfg.listen_address,
+            cfg.shares_load,
+            self._edge_hosts.is_follower,
+            self._peers.addresses,
+        )
         self._endpoint: datagram.Endpoint | None = None
         self._last_tick = now
         self._group = _group.Group(cfg, self._peers, now)
@@ -275,6 +282,12 @@
         else:
             self._endpoint.send_encoded(parts, src)
 
+    def on_load(
+        self, msg: polling.LoadReport | _messages.LoadSum, src: ids.Address
+    ) -> None:
+        """Record the load that a host or a coordinator reports."""
+        self._load.on_message(msg, src, self._clock())
+
     def keep_reply(self, datagrams: tuple[bytes, ...]) -> None:
         """Keep the saved reply, whose parts hosts may still request."""
         if datagrams:
@@ -338,6 +351,7 @@
             self._group.on_tick(self.node, now)
         self.process_events()
         self._notify_edge_hosts(now)
+        self._send_loads(now)
         document = self._committed_document()
         self._hints.save_if_due(
             self.registry,
@@ -378,6 +392,14 @@
             for address in self._peers.addresses():
                 self._send(msg, address)
 
+    def _send_loads(self, now: float) -> None:
+        """Send the sum or view of load that is due, encoded once for all."""
+        assert self._endpoint is not None
+        for due in self._load.due(now):
+            datagrams = self._encode(due.msg)
+            for address in due.targets:
+                self._endpoint.send_encoded(datagrams, address)
+
     def put_seeds(self, seeds: tuple[ids.Address, ...]) -> None:
         """Replace the seeds after a change of the settings."""
         self._peers.put_seeds(seeds, self._clock())
--- a/foxtailworks/coordinator/_settings.py
+++ b/foxtailworks/coordinator/_settings.py
@@ -28,6 +28,8 @@
     """Seconds without a heartbeat after which an instance isn't live."""
     policy: upkeep.Policy = upkeep.Policy()
     """Limits for automatic changes of the group's membership."""
+    shares_load: bool = False
+    """Whether reports of load are collected and views are sent."""
 
     def __post_init__(self) -> None:
         """Reject settings without seeds or with an invalid lease.
--- a/foxtailworks/polling/__init__.py
+++ b/foxtailworks/polling/__init__.py
@@ -21,6 +21,13 @@
 
 from foxtailworks.polling._followers import Followers
 from foxtailworks.polling._large_answers import LargeAnswers
+from foxtailworks.polling._load import LOAD_INTERVAL_S
+from foxtailworks.polling._load import LoadReport
+from foxtailworks.polling._load import LoadView
+from foxtailworks.polling._load import MAX_LISTED
+from foxtailworks.polling._load import pack_loads
+from foxtailworks.polling._load import REPORT_AFTER_S
+from foxtailworks.polling._load import unpack_loads
 from foxtailworks.polling._messages import ALL_PARTS
 from foxtailworks.polling._messages import CODEC
 from foxtailworks.polling._messages import MESSAGES
@@ -31,6 +38,7 @@
 from foxtailworks.polling._messages import PollAnswer
 from foxtailworks.polling._messages import Summary
 from foxtailworks.polling._schedule import DuePoll
+from foxtailworks.polling._schedule import FOLLOWED
 from foxtailworks.polling._schedule import LOST_S
 from foxtailworks.polling._schedule import Need
 from foxtailworks.polling._schedule import Schedule
@@ -43,12 +51,17 @@
     "ALL_PARTS",
     "CODEC",
     "FIRST_PARTS",
+    "FOLLOWED",
+    "LOAD_INTERVAL_S",
     "LOST_S",
+    "MAX_LISTED",
     "MAX_OUTSTANDING",
     "MESSAGES",
     "DuePoll",
     "Followers",
     "LargeAnswers",
+    "LoadReport",
+    "LoadView",
     "MissingParts",
     "Need",
     "Notice",
@@ -56,7 +69,10 @@
     "PartsGone",
     "Poll",
     "PollAnswer",
+    "REPORT_AFTER_S",
     "Schedule",
     "Summary",
     "Transfers",
+    "pack_loads",
+    "unpack_loads",
 ]
--- a/foxtailworks/polling/_followers.py
+++ b/foxtailworks/polling/_followers.py
@@ -25,6 +25,10 @@
         """Return the number of followers."""
         return len(self._valid_until)
 
+    def __contains__(self, address: ids.Address) -> bool:
+        """Return whether a host follows."""
+        return address in self._valid_until
+
     def on_poll(
         self, address: ids.Address, is_follower: bool, now: float
     ) -> None:
--- a/foxtailworks/polling/_messages.py
+++ b/foxtailworks/polling/_messages.py
@@ -5,6 +5,7 @@
 
 from foxtailworks import discovery
 from foxtailworks import ids
+from foxtailworks.polling import _load
 from foxtailworks import wire
 
 
@@ -126,6 +127,8 @@
     7: Summary,
     8: PartRequest,
     9: PartsGone,
+    10: _load.LoadReport,
+    11: _load.LoadView,
 }
 
 CODEC = wire.Codec(MESSAGES, limit=4 << 20)
--- a/foxtailworks/polling/_schedule.py
+++ b/foxtailworks/polling/_schedule.py
@@ -167,7 +167,7 @@
 
     def request_polls_of_followed(self, now: float) -> None:
         """Poll the followed coordinators as soon as possible."""
-        for address in self._followed(now):
+        for address in self.followed(now):
             self.request_poll(address)
 
     def request_polls_of_all(self) -> None:
@@ -178,7 +178,7 @@
     def due(self, now: float, need: Need) -> tuple[DuePoll, ...]:
         """Return the coordinators to poll now, and record the polls."""
         self._drop_unresponsive(now)
-        followed = self._followed(now)
+        followed = frozenset(self.followed(now))
         for address in followed - self._last_followed:
             self.request_poll(address)
         self._last_followed = followed
@@ -209,14 +209,14 @@
             return min(contact.next_poll_at, contact.polled_at + POLL_S)
         return contact.next_poll_at
 
-    def _followed(self, now: float) -> frozenset[ids.Address]:
-        """Return the coordinators that this host follows now."""
+    def followed(self, now: float) -> tuple[ids.Address, ...]:
+        """Return the coordinators that this host follows now, in its order."""
         usable = [
             (contact.rank, address)
             for address, contact in self._contacts.items()
             if contact.is_usable(now)
         ]
-        return frozenset(address for _, address in sorted(usable)[:FOLLOWED])
+        return tuple(address for _, address in sorted(usable)[:FOLLOWED])
 
     def _drop_unresponsive(self, now: float) -> None:
         """Forget coordinators that are unresponsive, except seeds."""
