Place new flows by the load of all hosts while a view is valid

Cause: placement by own counts is random at 0.6 flows a host. Without a view the choice is as before.

--- a/foxtailworks/steering/__init__.py
+++ b/foxtailworks/steering/__init__.py
@@ -29,6 +29,7 @@
 from foxtailworks.steering._flows import FlowKey
 from foxtailworks.steering._flows import InstanceKey
 from foxtailworks.steering._held_packets import Packet
+from foxtailworks.steering._load_view import LoadView
 from foxtailworks.steering._pending import Syn
 from foxtailworks.steering._routes import RequestKind
 from foxtailworks.steering._routes import Route
@@ -55,6 +56,7 @@
     "FlowKey",
     "Forward",
     "InstanceKey",
+    "LoadView",
     "Packet",
     "Placed",
     "Reason",
--- a/foxtailworks/steering/_choice.py
+++ b/foxtailworks/steering/_choice.py
@@ -8,6 +8,7 @@
 from foxtailworks import ids
 from foxtailworks.steering import _config
 from foxtailworks.steering import _flows
+from foxtailworks.steering import _load_view
 
 
 _Rated = tuple[float, float, discovery.KnownInstance]
@@ -24,6 +25,7 @@
 
     :param load: returns the load of this host's flows on an upstream
     :param zone: availability zone that is preferred among equals
+    :param view: load of all hosts' requests, used while it is valid
     """
 
     def __init__(
@@ -32,22 +34,29 @@
         zone: ids.ZoneId,
         rng: random.Random,
         config: _config.Config,
+        view: _load_view.LoadView | None = None,
     ) -> None:
         self._load = load
         self._zone = zone
         self._rng = rng
         self._cfg = config
+        self._view = view
 
     def choose(
         self,
         candidates: typing.Sequence[discovery.KnownInstance],
         penalty: abc.Callable[[discovery.KnownInstance], float],
+        now: float,
     ) -> discovery.KnownInstance | None:
         """Return one of the least loaded candidates; None without any.
 
         :param penalty: returns the evidence against a candidate; by so many
             flows per slot the others must be more loaded
         """
+        if self._view is not None and self._view.is_valid(now):
+            chosen = self._view.choose(candidates, penalty)
+            if chosen is not None:
+                return chosen
         rated = [self._rate(item, penalty(item)) for item in candidates]
         if not rated:
             return None
--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -63,3 +63,17 @@
     """Maximum number of flows in the table."""
     cold_load: float = 0.5
     """Load, in flows per slot, added to a cold upstream."""
+    view_valid_s: float = 1.0
+    """Time after its arrival for which a view of all hosts' load is used."""
+    upstream_queue: int = 8
+    """Requests that an upstream queues beyond its slots before it refuses
+    further ones; from the deployment sheets, as heartbeats don't tell it."""
+    kept_zone_load: float = 0.6
+    """Load, in requests per slot, up to which a zone keeps its callers'
+    flows."""
+    kept_zone_excess: float = 0.2
+    """Load by which a zone may exceed the others and still keep its flows."""
+    zone_share_step: float = 0.05
+    """Change of the share of flows sent to other zones, for each view."""
+    max_zone_share: float = 0.5
+    """Largest share of a zone's new flows that is sent to other zones."""
--- a/foxtailworks/steering/_flows.py
+++ b/foxtailworks/steering/_flows.py
@@ -77,6 +77,14 @@
         """Return the number of flows open or opening at an upstream."""
         return self._open[upstream]
 
+    def busy_count(self, upstream: InstanceKey) -> int:
+        """Return the number of flows with a request under way there."""
+        return self._busy.get(upstream, 0)
+
+    def busy_counts(self) -> dict[InstanceKey, int]:
+        """Return the number of such flows of each upstream that has any."""
+        return {key: count for key, count in self._busy.items() if count}
+
     def load(self, upstream: InstanceKey) -> float:
         """Return the load that this host's flows put on an upstream.
 
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -13,6 +13,7 @@
 from foxtailworks.steering import _events
 from foxtailworks.steering import _flows
 from foxtailworks.steering import _held_packets
+from foxtailworks.steering import _load_view
 from foxtailworks.steering import _pending
 from foxtailworks.steering import _routes
 from foxtailworks.steering import _share
@@ -62,7 +63,13 @@
         self._backlog = _backlog.Backlog()
         self.share = _share.HostShare(roster, self._flows.load, self._cfg)
         """Share of the slots that this host may fill with what waited."""
-        self._chooser = _choice.Chooser(self._flows.load, zone, rng, self._cfg)
+        self.load_view = _load_view.LoadView(
+            self._flows, self._tokens, zone, rng, self._cfg
+        )
+        """Load of all hosts' requests, used while coordinators send it."""
+        self._chooser = _choice.Chooser(
+            self._flows.load, zone, rng, self._cfg, self.load_view
+        )
         self._routes: dict[ids.Address, _routes.Route] = {}
         self.revision = 0
         self.has_unknown_tokens = False
@@ -273,7 +280,7 @@
             candidates = self._usable_upstreams(route, now)
         is_retry = flow is not None
         chosen = self._chooser.choose(
-            candidates, lambda item: self._penalty(item, is_retry, now)
+            candidates, lambda item: self._penalty(item, is_retry, now), now
         )
         if chosen is None:
             return _decisions.Reset(_Reason.NO_UPSTREAM)
