Report load from edge hosts and take views, under pressure only

The setting shares_load is off by default and set where the contract pressure is in force. Metrics and log events of the view.

--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -71,7 +71,10 @@
 class World:
     """All simulated hosts, the network between them, and the clock."""
 
-    def __init__(self, count, seeds=3, seed=1, folder="absent"):
+    def __init__(
+        self, count, seeds=3, seed=1, folder="absent", shares_load=False
+    ):
+        self.shares_load = shares_load
         self.rng = random.Random(seed)
         self.now = 0.0
         self.loss_rate = 0.0
@@ -106,6 +109,7 @@
             host.is_first_start,
             3.0,
             upkeep.Policy(),
+            self.shares_load,
         )
         host.program = coordinator.Coordinator(
             cfg,
@@ -150,6 +154,7 @@
             ids.ZoneId("z1"),
             edge_address(number),
             self.seeds,
+            self.shares_load,
         )
         self.edges[edge_address(number)] = host = edge.Host(
             cfg,
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -10,6 +10,7 @@
 from foxtailworks import datagram
 from foxtailworks import discovery
 from foxtailworks.edge import _audit
+from foxtailworks.edge import _load
 from foxtailworks.edge import _scrape
 from foxtailworks import errors
 from foxtailworks import ids
@@ -42,6 +43,8 @@
     """UDP address that receives the coordinators' answers."""
     seeds: tuple[ids.Address, ...]
     """Listen addresses of the coordinators that are polled first."""
+    shares_load: bool = False
+    """Whether the host reports its load and uses the view of all hosts."""
 
     def __post_init__(self) -> None:
         """Reject settings without a seed coordinator."""
@@ -71,6 +74,9 @@
         self._clock = clock
         self.roster = discovery.Roster()
         self.steering = steering.Steering(self.roster, cfg.zone, rng)
+        self._load = _load.LoadReporter(
+            cfg.shares_load, self.steering.load_view
+        )
         self._tables = steering.TableDecoder()
         self._needs_whole_table = False
         self._started_at = clock()
@@ -128,6 +134,7 @@
                 float(self.steering.waiting_count),
             ),
         }
+        gauges |= self._load.gauges(now)
         return _scrape.render(self._audit.metrics, gauges)
 
     def withdraw(self) -> None:
@@ -214,6 +221,7 @@
         self.roster.on_tick(now)
         self._request_parts(now)
         self._poll_if_due(now)
+        self._report_load(now)
 
     def _poll_if_due(self, now: float) -> None:
         """Poll the coordinators that are due, or all after a new suspicion."""
@@ -230,6 +238,17 @@
         for due in self._schedule.due(now, self._need(now)):
             self._poll(due, now)
 
+    def on_load_view(self, msg: polling.LoadView, src: ids.Address) -> None:
+        """Use the load of all hosts for the placement of new flows."""
+        self._load.on_view(msg, src, self._clock())
+
+    def _report_load(self, now: float) -> None:
+        """Send a report of this host's load if one is due."""
+        assert self._endpoint is not None
+        due = self._load.due(lambda: self._schedule.followed(now), now)
+        if due is not None:
+            self._endpoint.send(due.msg, due.target)
+
     def _need(self, now: float) -> polling.Need:
         """Return what this host needs from coordinators now."""
         if not self.steering.revision and not self._transfers.is_downloading:
@@ -318,6 +337,11 @@
     host.on_notice(msg, src)
 
 
+@_dispatch.register
+def _(msg: polling.LoadView, host: Host, src: ids.Address) -> None:
+    host.on_load_view(msg, src)
+
+
 @contextlib.asynccontextmanager
 async def opened(
     cfg: Settings,
