Send sums to coordinators that send none every 2 s only

Cause: in a rolling upgrade, coordinators of the last release would log five sums a second of each peer as undecodable. Change: sums go to those whose own sums are valid, and to all others every 2 s.

--- a/foxtailworks/coordinator/_load.py
+++ b/foxtailworks/coordinator/_load.py
@@ -22,6 +22,9 @@
 VIEW_DELAY_S = 0.05
 """Time from a coordinator's sum to its view: a tick, in which the sums of the
 others arrive."""
+PROBE_S = 2.0
+"""Interval between sums to coordinators that send none: one of the last
+release can't decode a sum and logs each one."""
 _MIN_INTERVAL_S = polling.LOAD_INTERVAL_S / 2
 # Shortest interval between two sums, when another coordinator sets the pace.
 _LOG_INTERVAL_S = 10.0
@@ -100,6 +103,7 @@
         self._last_sum_at = float("-inf")
         self._next_sum_at = 0.0
         self._next_view_at = float("inf")
+        self._next_probe_at = 0.0
         self._next_log_at = 0.0
         self.dropped_count = 0
         """Reports and sums that were malformed, of strangers, or too many."""
@@ -145,13 +149,12 @@
         if not self._is_enabled:
             return
         if now >= self._next_sum_at:
+            self._peers.expire(now)
             self._last_sum_at = now
             self._next_sum_at = now + polling.LOAD_INTERVAL_S
             self._next_view_at = now + VIEW_DELAY_S
             packed = polling.pack_loads(self._sum(now), _messages.MAX_SUMMED)
-            yield DueLoads(
-                _messages.LoadSum(packed), self._addresses_of_peers()
-            )
+            yield DueLoads(_messages.LoadSum(packed), self._receivers(now))
         elif now >= self._next_view_at:
             self._next_view_at = float("inf")
             total = self._sum(now)
@@ -160,6 +163,13 @@
             view = polling.LoadView(polling.pack_loads(total))
             yield DueLoads(view, self._hosts.sources())
 
+    def _receivers(self, now: float) -> tuple[ids.Address, ...]:
+        """Return the coordinators that get this sum."""
+        if now < self._next_probe_at:
+            return self._peers.sources()
+        self._next_probe_at = now + PROBE_S
+        return self._addresses_of_peers()
+
     def _sum(self, now: float) -> collections.Counter[int]:
         """Return the sum of the hosts that report to this coordinator."""
         self._hosts.expire(now)
