--- a/foxtailworks/coordinator/tests/test_evacuation.py
+++ b/foxtailworks/coordinator/tests/test_evacuation.py
@@ -8,11 +8,13 @@
 from hypothesis import strategies as st
 import pytest
 
+from foxtailworks.coordinator import _hints
 from foxtailworks.coordinator import _start_reply
 from foxtailworks.coordinator.tests import test_promises
 from foxtailworks.coordinator.tests import test_start_reply
 from foxtailworks.coordinator.tests import world
 from foxtailworks import datagram
+from foxtailworks import errors
 from foxtailworks import ids
 from foxtailworks import polling
 from foxtailworks.steering.tests import encoded
@@ -60,6 +62,16 @@
     return int(program._cfg.name[1:])
 
 
+def test_an_order_and_its_withdrawal_reach_all_coordinators():
+    cluster = start()
+    assert order(cluster, NORTH) is True
+    cluster.run(0.5)
+    assert all_told(cluster) == {(NORTH,)}
+    assert order(cluster, NORTH, False) is True
+    cluster.run(0.5)
+    assert all_told(cluster) == {()}
+
+
 def test_an_order_survives_the_loss_of_all_power_right_after_it():
     cluster = start()
     assert order(cluster, NORTH) is True
@@ -107,6 +119,15 @@
     assert told(cluster.leader()).number == 1
 
 
+def test_a_repeated_order_on_a_follower_is_not_acknowledged_by_it():
+    cluster = start()
+    assert order(cluster, NORTH) is True
+    for host in cluster.running():
+        if host.program is not cluster.leader():
+            found = order(cluster, NORTH, True, host.program)
+            assert found.code is errors.Code.NOT_LEADER
+
+
 def test_a_minority_acknowledges_nothing():
     cluster = start()
     old = cluster.leader()
@@ -176,6 +197,18 @@
     assert told(cluster.hosts[world.address(2)].program).zones == (NORTH,)
 
 
+def test_a_change_is_in_the_hints_at_once(tmp_path):
+    cluster = world.World(3, folder=tmp_path)
+    cluster.run(test_promises.SETTLE_S)
+    for is_evacuated in (True, False, True):
+        assert order(cluster, NORTH, is_evacuated) is True
+        cluster.run(0.25)
+        for number in NUMBERS:
+            hints = _hints.Hints(tmp_path / f"k{number}", lambda: 0.0)
+            zones = hints.load().evacuation.zones
+            assert zones == (NORTH,) * is_evacuated
+
+
 @hypothesis.settings(derandomize=True, max_examples=40, deadline=None)
 @hypothesis.given(st.integers(0, 10_000))
 def test_the_last_acknowledged_order_holds_in_a_random_run(seed):
@@ -232,6 +265,23 @@
         assert seconds_until(cluster, zones) <= TARGET_S / 2
 
 
+def test_hosts_follow_although_notices_are_lost():
+    cluster = start_with_edges()
+    cluster.loss_rate = 0.2
+    assert order(cluster, NORTH) is True
+    assert seconds_until(cluster, (NORTH,)) <= 5.0
+
+
+def test_hosts_keep_the_order_when_all_coordinators_lose_power():
+    cluster = start_with_edges()
+    assert order(cluster, NORTH) is True
+    seconds_until(cluster, (NORTH,))
+    cut_power(cluster)
+    for _ in range(60):
+        cluster.step()
+        assert edge_zones(cluster) == {frozenset((NORTH,))}
+
+
 def test_a_coordinator_that_lags_does_not_mislead_its_hosts():
     cluster = start_with_edges()
     lagging = next(
