Skip copies and scans of the registry that find nothing

Cause: each heartbeat copied two instances to compare them without counters and built two sets of related rows; each tick scanned all rows. Change: fields are compared in place, sets are built only where another row has the id or address, and ticks skip the rows until one is due.

--- a/foxtailworks/discovery/_instance.py
+++ b/foxtailworks/discovery/_instance.py
@@ -55,6 +55,21 @@
         mine = (self.state.value, self.sequence)
         return mine > (other.state.value, other.sequence)
 
+    def is_same_but_counters(self, other: "Instance") -> bool:
+        """Return whether only counters differ, which aren't sent as changes.
+
+        Of ``cold_ms`` only counts whether any time remains.
+        """
+        return (
+            self.state is other.state
+            and (self.cold_ms > 0) is (other.cold_ms > 0)
+            and self.address == other.address
+            and self.slots == other.slots
+            and self.service == other.service
+            and self.zone == other.zone
+            and self.key == other.key
+        )
+
     def with_state(self, state: InstanceState) -> "Instance":
         """Return a copy with another state."""
         return dataclasses.replace(self, state=state)
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -73,6 +73,8 @@
         self._unlogged: list[ListedInstance] = []
         self._unshared: dict[_table.Key, tuple[_instance.Instance, float]] = {}
         self._relays_left: dict[_table.Key, int] = {}
+        self._next_due_at = float("inf")
+        # No lease expires and no row is removed before this time.
 
     @property
     def session(self) -> int:
@@ -165,13 +167,27 @@
 
     def on_tick(self, now: float) -> None:
         """Expire leases and remove instances that expired long ago."""
+        if now <= self._next_due_at:
+            return
+        self._next_due_at = float("inf")
         for row in tuple(self._table.rows()):
-            since_heartbeat_s = now - row.last_heartbeat_at
-            if row.is_live and since_heartbeat_s > self._lease_s:
+            if now > self._due_at(row):
+                if not row.is_live:
+                    self._table.remove(row)
+                    continue
                 row.is_live = False
                 self._record_change(row)
-            elif since_heartbeat_s > TOMBSTONE_S:
-                self._table.remove(row)
+            self._expect(row)
+
+    def _due_at(self, row: _table.Row) -> float:
+        """Return when the row's lease expires or the row is removed."""
+        return row.last_heartbeat_at + (
+            self._lease_s if row.is_live else TOMBSTONE_S
+        )
+
+    def _expect(self, row: _table.Row) -> None:
+        """Have ``on_tick`` look at the rows when this row is due."""
+        self._next_due_at = min(self._next_due_at, self._due_at(row))
 
     def extend_leases(self, gap_s: float) -> None:
         """Extend all leases by a time for which this process was stopped."""
@@ -205,15 +221,19 @@
             is_live = self._is_live(last_heartbeat_at, now)
             row = _table.Row(instance, last_heartbeat_at, is_live, 0)
             self._table.add(row)
+            self._expect(row)
             self._record_change(row)
             self._end_predecessors(instance)
             return
-        before = (_without_counters(row.instance), row.is_live)
+        before, was_live = row.instance, row.is_live
         row.last_heartbeat_at = max(row.last_heartbeat_at, last_heartbeat_at)
         row.is_live = self._is_live(row.last_heartbeat_at, now)
-        if instance.supersedes(row.instance):
+        if instance.supersedes(before):
             self._table.replace(row, instance)
-        if (_without_counters(row.instance), row.is_live) != before:
+        if row.is_live is not was_live:
+            self._expect(row)
+            self._record_change(row)
+        elif not row.instance.is_same_but_counters(before):
             self._record_change(row)
 
     def _is_live(self, last_heartbeat_at: float, now: float) -> bool:
@@ -222,6 +242,8 @@
 
     def _is_superseded(self, instance: _instance.Instance, now: float) -> bool:
         """Return whether a later start has the same id or address."""
+        if not self._table.is_related_to_others(instance):
+            return False
         for row in self._table.related(instance):
             other = row.instance
             if other.incarnation <= instance.incarnation:
@@ -248,10 +270,3 @@
         row.version = self._version
         if len(self._unlogged) < MAX_UNLOGGED:
             self._unlogged.append(ListedInstance(row.instance, row.is_live))
-
-
-def _without_counters(instance: _instance.Instance) -> _instance.Instance:
-    """Return an instance without counters, which aren't sent as changes."""
-    return dataclasses.replace(
-        instance, sequence=0, cold_ms=1 if instance.cold_ms else 0
-    )
--- a/foxtailworks/discovery/_table.py
+++ b/foxtailworks/discovery/_table.py
@@ -50,6 +50,15 @@
             return None
         return self._rows[max(keys, key=lambda key: key[1])]
 
+    def is_related_to_others(self, instance: _instance.Instance) -> bool:
+        """Return whether other rows have the id or address of an instance."""
+        names = self._by_name.get(instance.instance)
+        addresses = self._by_address.get(instance.address)
+        return not (
+            (names is None or names == {instance.key})
+            and (addresses is None or addresses == {instance.key})
+        )
+
     def related(self, instance: _instance.Instance) -> tuple[Row, ...]:
         """Return the rows with the id or the address of an instance."""
         keys = self._by_name.get(instance.instance, set()) | (
--- a/foxtailworks/discovery/tests/test_registry.py
+++ b/foxtailworks/discovery/tests/test_registry.py
@@ -69,6 +69,28 @@
     assert [key[0] for key in live_states(made)] == ["i-1"]
 
 
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(st.integers(0, 10_000))
+def test_each_lease_ends_at_the_first_tick_after_its_time(seed):
+    # Ticks skip the rows until one is due; a time computed too late would
+    # keep an instance that has crashed.
+    rng = random.Random(seed)
+    made = make_registry()
+    heard = {}
+    for now in range(120):
+        name = f"i-{rng.randrange(4)}"
+        age = rng.choice((0, 0, 1, 2, 5))
+        address = ids.Address(f"10.0.0.{name[2:]}", 1 + int(name[2:]))
+        item = making.instance(name, sequence=now, address=address)
+        if rng.random() < 0.3:
+            relayed = discovery.RelayedHeartbeat(item, age * 1000)
+            made.merge((relayed,), float(now))
+            heard[name] = max(now - age, heard.get(name, -9))
+        made.on_tick(float(now))
+        expected = {key for key, at in heard.items() if now - at <= LEASE_S}
+        assert {key[0] for key in live_states(made)} == expected
+
+
 def test_changes_since_a_version_are_complete():
     made = make_registry(session=7)
     made.announce(making.instance("i-1"), 0.0)
