List unchanged heartbeats once a second instead of relaying each

Cause: each coordinator encoded all heartbeats that it received whole, once for each peer, and decoded those of all the others: 36 % of its profile. Change: changes, and heartbeats of instances that are cold, have gone or are late, are relayed whole, encoded once for all peers. The others are listed once a second by a token of their content and an age; a receiver that doesn't know a token requests the instance. Presence announces that a coordinator reads lists; others get each heartbeat whole as before. Leases that were extended by a list last 1.2 s longer, for the heartbeats of the next one.

--- a/foxtailworks/coordinator/_messages.py
+++ b/foxtailworks/coordinator/_messages.py
@@ -30,6 +30,9 @@
     """Random number drawn at each start of the process."""
     recent_addresses: tuple[ids.Address, ...]
     """Coordinators with which it had recent contact."""
+    list_form: int = 0
+    """Form of the lists of heard instances that it understands; 0 if it
+    understands none and needs each heartbeat whole."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,8 +56,31 @@
     """Newest heartbeat of each instance."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatList:
+    """Instances whose unchanged heartbeats a coordinator received."""
+
+    entries: bytes
+    """Token and age of each; see ``_relay``."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatRequest:
+    """Request for instances of a list that the receiver doesn't know."""
+
+    tokens: bytes
+    """Tokens as in the list."""
+
+
 CODEC = wire.Codec(
-    {1: Presence, 2: ConsensusMessage, 3: Heartbeats, **polling.MESSAGES},
+    {
+        1: Presence,
+        2: ConsensusMessage,
+        3: Heartbeats,
+        12: HeartbeatList,
+        13: HeartbeatRequest,
+        **polling.MESSAGES,
+    },
     limit=4 << 20,
 )
 
--- a/foxtailworks/coordinator/_peers.py
+++ b/foxtailworks/coordinator/_peers.py
@@ -36,6 +36,7 @@
         self._statuses: dict[ids.KeeperId, upkeep.PeerStatus] = {}
         self._sessions: dict[ids.Address, int] = {}
         self._announced: set[ids.Address] = set()
+        self._list_forms: dict[ids.Address, int] = {}
 
     @property
     def statuses(self) -> dict[ids.KeeperId, upkeep.PeerStatus]:
@@ -52,6 +53,17 @@
         """Return all addresses that presence messages are sent to."""
         return tuple(self._last_contact_at)
 
+    def reading_lists(self, form: int) -> frozenset[ids.Address]:
+        """Return the addresses that announced that they read such lists.
+
+        One that hasn't announced itself yet may have the last release.
+        """
+        return frozenset(
+            address
+            for address in self._last_contact_at
+            if self._list_forms.get(address, 0) >= form
+        )
+
     def recent_addresses(self, now: float) -> tuple[ids.Address, ...]:
         """Return the addresses with recent contact, and this one."""
         recent = (
@@ -89,6 +101,7 @@
         )
         has_restarted = self._sessions.get(msg.address) != msg.session
         self._sessions[msg.address] = msg.session
+        self._list_forms[msg.address] = msg.list_form
         return has_restarted
 
     def on_tick(self, now: float) -> None:
@@ -100,6 +113,7 @@
             ):
                 del self._last_contact_at[address]
                 self._announced.discard(address)
+                self._list_forms.pop(address, None)
         for keeper, item in list(self._statuses.items()):
             if now - item.last_contact_at > DROP_AFTER_S:
                 del self._statuses[keeper]
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -15,6 +15,7 @@
 from foxtailworks.coordinator import _instance_log
 from foxtailworks.coordinator import _messages
 from foxtailworks.coordinator import _peers
+from foxtailworks.coordinator import _relay
 from foxtailworks.coordinator import _settings
 from foxtailworks import datagram
 from foxtailworks import discovery
@@ -33,8 +34,6 @@
 """Interval between ticks: half the heartbeat interval of the consensus."""
 REOPEN_INTERVAL_S = 0.5
 """Interval between attempts to open a disk that refused a write."""
-RELAY_INTERVAL_S = 0.1
-"""Interval in which heartbeats are collected before they are relayed."""
 STOPPED_GAP_S = 1.0
 """Gap between two ticks from which on the process counts as stopped."""
 COMPACT_ENTRIES = 64
@@ -84,7 +83,8 @@
         self._endpoint: datagram.Endpoint | None = None
         self._last_tick = now
         self._group = _group.Group(cfg, self._peers, now)
-        self._next_presence_at = self._next_relay_at = now
+        self._relay = _relay.Relay(self.registry, self._peers, now)
+        self._next_presence_at = now
         self._next_reopen_at = 0.0
         self.node: replicated.Node | None = None
         self.documents: _documents.Documents | None = None
@@ -357,6 +357,7 @@
             self._cfg.is_first_start,
             self._session,
             self._peers.recent_addresses(now),
+            _relay.LIST_FORM,
         )
         members = (item.address for item in replica.membership.members)
         targets = {*members, *self._peers.addresses()}
@@ -364,15 +365,20 @@
             self._send(msg, address)
 
     def _relay_heartbeats(self, now: float) -> None:
-        """Send collected heartbeats to the other coordinators if due."""
-        if now < self._next_relay_at:
-            return
-        self._next_relay_at = now + RELAY_INTERVAL_S
-        heartbeats = self.registry.take_unshared(now)
-        if heartbeats:
-            msg = _messages.Heartbeats(heartbeats)
-            for address in self._peers.addresses():
-                self._send(msg, address)
+        """Send what the other coordinators are to learn of heartbeats."""
+        assert self._endpoint is not None
+        for msg, addresses in self._relay.take_due(now):
+            datagrams = self._encode(msg)
+            for address in addresses:
+                self._endpoint.send_encoded(datagrams, address)
+
+    def on_heartbeat_message(
+        self, msg: _relay.Received, src: ids.Address
+    ) -> None:
+        """Handle what another coordinator sent about heartbeats."""
+        answer = self._relay.on_message(msg, self._clock())
+        if answer is not None:
+            self._send(answer, src)
 
     def put_seeds(self, seeds: tuple[ids.Address, ...]) -> None:
         """Replace the seeds after a change of the settings."""
@@ -403,11 +409,11 @@
     program.on_consensus_message(msg)
 
 
-@_dispatch.register
-def _(
-    msg: _messages.Heartbeats, program: Coordinator, src: ids.Address
-) -> None:
-    program.registry.merge(msg.heartbeats, program._clock())
+@_dispatch.register(_messages.Heartbeats)
+@_dispatch.register(_messages.HeartbeatList)
+@_dispatch.register(_messages.HeartbeatRequest)
+def _(msg: _relay.Received, program: Coordinator, src: ids.Address) -> None:
+    program.on_heartbeat_message(msg, src)
 
 
 @_dispatch.register
--- a/foxtailworks/coordinator/tests/test_fuzz.py
+++ b/foxtailworks/coordinator/tests/test_fuzz.py
@@ -37,6 +37,8 @@
     ),
     _messages.ConsensusMessage(ids.KeeperId("a"), ids.KeeperId("b"), b"\x82"),
     _messages.Heartbeats((discovery.RelayedHeartbeat(INSTANCE, 20),)),
+    _messages.HeartbeatList(3 * (bytes(8) + b"\0\7")),
+    _messages.HeartbeatRequest(3 * bytes(8)),
     polling.Poll(ids.HostId("e1"), 5, 3, 7, (KEY,), True),
     polling.PollAnswer(CHANGES, 8, b"table", ADDRESSES, (KEY,), True),
     polling.Notice(5, 3, 8),
--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -71,10 +71,11 @@
 class World:
     """All simulated hosts, the network between them, and the clock."""
 
-    def __init__(self, count, seeds=3, seed=1, folder="absent"):
+    def __init__(self, count, seeds=3, seed=1, folder="absent", lease_s=3.0):
         self.rng = random.Random(seed)
         self.now = 0.0
         self.loss_rate = 0.0
+        self.lease_s = lease_s
         self.blocked = set()
         self.folder = pathlib.Path(folder)
         self.seeds = tuple(address(n) for n in range(1, seeds + 1))
@@ -104,7 +105,7 @@
             self.folder / f"k{number}",
             self.seeds,
             host.is_first_start,
-            3.0,
+            self.lease_s,
             upkeep.Policy(),
         )
         host.program = coordinator.Coordinator(
--- a/foxtailworks/discovery/__init__.py
+++ b/foxtailworks/discovery/__init__.py
@@ -14,18 +14,25 @@
     roster.of_service(service, now)
 """
 
+from foxtailworks.discovery._instance import ContentToken
 from foxtailworks.discovery._instance import Instance
 from foxtailworks.discovery._instance import InstanceId
 from foxtailworks.discovery._instance import InstanceState
 from foxtailworks.discovery._registry import Changes
+from foxtailworks.discovery._registry import HeardInstance
+from foxtailworks.discovery._registry import LIST_INTERVAL_S
 from foxtailworks.discovery._registry import ListedInstance
 from foxtailworks.discovery._registry import Registry
 from foxtailworks.discovery._registry import RelayedHeartbeat
+from foxtailworks.discovery._registry import Unshared
 from foxtailworks.discovery._roster import KnownInstance
 from foxtailworks.discovery._roster import Roster
 
 __all__ = [
+    "LIST_INTERVAL_S",
     "Changes",
+    "ContentToken",
+    "HeardInstance",
     "Instance",
     "InstanceId",
     "InstanceState",
@@ -34,4 +41,5 @@
     "Registry",
     "RelayedHeartbeat",
     "Roster",
+    "Unshared",
 ]
--- a/foxtailworks/discovery/_instance.py
+++ b/foxtailworks/discovery/_instance.py
@@ -4,11 +4,16 @@
 import enum
 import typing
 
+import xxhash
+
 from foxtailworks import ids
 
 InstanceId = typing.NewType("InstanceId", str)
 # Chosen by the upstream; a later start may use the same id.
 
+ContentToken = typing.NewType("ContentToken", int)
+# Eight bytes that stand for an instance and its state; see content_token.
+
 
 class InstanceState(enum.Enum):
     """State of an instance; it only moves forward."""
@@ -70,6 +75,19 @@
             and self.key == other.key
         )
 
+    def content_token(self) -> ContentToken:
+        """Return the hash of all but the counters, equal on all hosts.
+
+        Two instances that are the same but for counters have the same token.
+        With 64 bits, two of 4,000 differing ones share a token once in 2e12
+        tables.
+        """
+        text = (
+            f"{self.instance}/{self.incarnation}/{self.service}/{self.address}"
+            f"/{self.zone}/{self.slots}/{self.state.value}/{self.cold_ms > 0}"
+        )
+        return ContentToken(xxhash.xxh3_64_intdigest(text.encode()))
+
     def with_state(self, state: InstanceState) -> "Instance":
         """Return a copy with another state."""
         return dataclasses.replace(self, state=state)
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -20,6 +20,14 @@
 REPEATED_RELAYS = 2
 """Further relays of a change, since a relay is a datagram that may be lost
 and edge hosts follow only some of the coordinators."""
+LIST_INTERVAL_S = 1.0
+"""Interval between two lists of the instances that a coordinator heard."""
+LISTED_S = 2.5
+"""Time for which a heartbeat is listed: in two lists, since one may be
+lost."""
+LIST_GRACE_S = LIST_INTERVAL_S + 0.2
+"""Time by which a lease is longer after a list: until a peer has the next
+one, which may tell of a later heartbeat."""
 _MS_PER_S = 1000
 
 
@@ -33,6 +41,27 @@
     """Time since its receipt; an age, since the receivers' clocks differ."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unshared:
+    """Heartbeats received since the last relay."""
+
+    changes: tuple[RelayedHeartbeat, ...]
+    """Those that lists don't replace: of changes, of instances that are cold
+    or have gone, and those that came late."""
+    others: tuple[RelayedHeartbeat, ...]
+    """Those that lists of tokens replace."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeardInstance:
+    """An instance that sent its last heartbeat a short time ago."""
+
+    token: _instance.ContentToken
+    """Token of its content."""
+    age_ms: int
+    """Time since the heartbeat."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListedInstance:
     """An instance in a coordinator's registry."""
@@ -105,18 +134,36 @@
 
         :returns: false when the table is full
         """
-        is_known = self._table.get(instance.key) is not None
-        if not is_known and len(self._table) >= MAX_INSTANCES:
+        row = self._table.get(instance.key)
+        if row is None and len(self._table) >= MAX_INSTANCES:
             return False
+        renewed_at = row.last_heartbeat_at if row else float("-inf")
         before = self._version
         self._apply(instance, now, now)
         row = self._table.get(instance.key)
         if row is not None:
+            row.heard_at = now
             self._unshared[instance.key] = (row.instance, now)
             if self._version != before:
-                self._relays_left[instance.key] = REPEATED_RELAYS
+                self._relays_left[instance.key] = 1 + REPEATED_RELAYS
+            elif self._needs_relay(row, now - renewed_at):
+                self._relays_left.setdefault(instance.key, 1)
         return True
 
+    def _needs_relay(self, row: _table.Row, gap_s: float) -> bool:
+        """Return whether an unchanged heartbeat is relayed whole at once.
+
+        After a longer gap, a peer's lease could end before the second list
+        that contains the heartbeat arrives.  Hosts read the remaining time of
+        cold instances, and the row of one that has gone must be kept for as
+        long as it sends heartbeats.
+        """
+        return (
+            gap_s + LIST_INTERVAL_S + LIST_GRACE_S > self._lease_s
+            or row.instance.cold_ms > 0
+            or row.instance.state is _instance.InstanceState.GONE
+        )
+
     def withdraw(self, name: _instance.InstanceId, now: float) -> None:
         """Mark the latest incarnation of an id as gone."""
         row = self._table.newest(name)
@@ -137,33 +184,59 @@
         unlogged, self._unlogged = self._unlogged, []
         return unlogged
 
-    def take_unshared(self, now: float) -> tuple[RelayedHeartbeat, ...]:
+    def take_unshared(self, now: float) -> Unshared:
         """Return the heartbeats to relay to the other coordinators."""
-        unshared = self._unshared
-        self._unshared = {
-            key: item for key, item in unshared.items() if self._repeats(key)
-        }
+        changes: list[RelayedHeartbeat] = []
+        others: list[RelayedHeartbeat] = []
+        again = {}
+        for key, (instance, at) in self._unshared.items():
+            heartbeat = RelayedHeartbeat(instance, _age_ms(at, now))
+            left = self._relays_left.pop(key, 0)
+            (changes if left else others).append(heartbeat)
+            if left > 1:
+                self._relays_left[key] = left - 1
+                again[key] = (instance, at)
+        self._unshared = again
+        return Unshared(tuple(changes), tuple(others))
+
+    def heard(self, now: float) -> tuple[HeardInstance, ...]:
+        """Return the instances that sent heartbeats here a short time ago."""
         return tuple(
-            RelayedHeartbeat(instance, max(0, round((now - at) * _MS_PER_S)))
-            for instance, at in unshared.values()
+            HeardInstance(
+                row.instance.content_token(), _age_ms(row.heard_at, now)
+            )
+            for row in self._table.rows()
+            if now - row.heard_at <= LISTED_S
+            and row.instance.state is not _instance.InstanceState.GONE
         )
 
-    def _repeats(self, key: _table.Key) -> bool:
-        """Return whether an instance is relayed again, and count it."""
-        left = self._relays_left.pop(key, 0)
-        if left > 1:
-            self._relays_left[key] = left - 1
-        return left > 0
+    def renew(
+        self, heard: abc.Iterable[HeardInstance], now: float
+    ) -> tuple[_instance.ContentToken, ...]:
+        """Extend the leases of instances that another coordinator heard.
+
+        :returns: tokens that this registry doesn't know
+        """
+        unknown = []
+        for item in heard:
+            row = self._table.with_token(item.token)
+            if row is None:
+                unknown.append(item.token)
+            else:
+                at = now - item.age_ms / _MS_PER_S
+                self._apply(row.instance, at, now, LIST_GRACE_S)
+        return tuple(unknown)
+
+    def with_tokens(
+        self, tokens: abc.Iterable[_instance.ContentToken], now: float
+    ) -> tuple[RelayedHeartbeat, ...]:
+        """Return the instances that have the given tokens."""
+        rows = (self._table.with_token(token) for token in tokens)
+        return tuple(_relayed(row, now) for row in rows if row is not None)
 
     def all_heartbeats(self, now: float) -> tuple[RelayedHeartbeat, ...]:
         """Return all instances, for a coordinator that has just started."""
-        return tuple(
-            RelayedHeartbeat(
-                row.instance,
-                max(0, round((now - row.last_heartbeat_at) * _MS_PER_S)),
-            )
-            for row in self._table.rows()
-        )
+        return tuple(_relayed(row, now) for row in self._table.rows())
 
     def on_tick(self, now: float) -> None:
         """Expire leases and remove instances that expired long ago."""
@@ -182,7 +255,7 @@
     def _due_at(self, row: _table.Row) -> float:
         """Return when the row's lease expires or the row is removed."""
         return row.last_heartbeat_at + (
-            self._lease_s if row.is_live else TOMBSTONE_S
+            self._lease_of(row) if row.is_live else TOMBSTONE_S
         )
 
     def _expect(self, row: _table.Row) -> None:
@@ -210,15 +283,16 @@
         instance: _instance.Instance,
         last_heartbeat_at: float,
         now: float,
+        grace_s: float = 0.0,
     ) -> None:
-        """Apply a direct, relayed or restored heartbeat to the table."""
+        """Apply a direct, relayed, listed or restored heartbeat."""
         if now - last_heartbeat_at > TOMBSTONE_S or self._is_superseded(
             instance, now
         ):
             return
         row = self._table.get(instance.key)
         if row is None:
-            is_live = self._is_live(last_heartbeat_at, now)
+            is_live = now <= last_heartbeat_at + self._lease_s
             row = _table.Row(instance, last_heartbeat_at, is_live, 0)
             self._table.add(row)
             self._expect(row)
@@ -226,8 +300,10 @@
             self._end_predecessors(instance)
             return
         before, was_live = row.instance, row.is_live
-        row.last_heartbeat_at = max(row.last_heartbeat_at, last_heartbeat_at)
-        row.is_live = self._is_live(row.last_heartbeat_at, now)
+        if last_heartbeat_at >= row.last_heartbeat_at:
+            row.last_heartbeat_at = last_heartbeat_at
+            row.grace_s = grace_s
+        row.is_live = now <= row.last_heartbeat_at + self._lease_of(row)
         if instance.supersedes(before):
             self._table.replace(row, instance)
         if row.is_live is not was_live:
@@ -236,9 +312,9 @@
         elif not row.instance.is_same_but_counters(before):
             self._record_change(row)
 
-    def _is_live(self, last_heartbeat_at: float, now: float) -> bool:
-        """Return whether the lease of a heartbeat hasn't expired."""
-        return now - last_heartbeat_at <= self._lease_s
+    def _lease_of(self, row: _table.Row) -> float:
+        """Return the time for which a row's last heartbeat is valid."""
+        return self._lease_s + row.grace_s
 
     def _is_superseded(self, instance: _instance.Instance, now: float) -> bool:
         """Return whether a later start has the same id or address."""
@@ -261,7 +337,8 @@
             other = row.instance
             ended = other.state is _instance.InstanceState.GONE
             if not ended and other.incarnation < instance.incarnation:
-                row.instance = other.with_state(_instance.InstanceState.GONE)
+                gone = other.with_state(_instance.InstanceState.GONE)
+                self._table.replace(row, gone)
                 self._record_change(row)
 
     def _record_change(self, row: _table.Row) -> None:
@@ -270,3 +347,13 @@
         row.version = self._version
         if len(self._unlogged) < MAX_UNLOGGED:
             self._unlogged.append(ListedInstance(row.instance, row.is_live))
+
+
+def _age_ms(at: float, now: float) -> int:
+    """Return the age of a heartbeat in milliseconds."""
+    return max(0, round((now - at) * _MS_PER_S))
+
+
+def _relayed(row: _table.Row, now: float) -> RelayedHeartbeat:
+    """Return the last heartbeat of a row's instance, as it is relayed."""
+    return RelayedHeartbeat(row.instance, _age_ms(row.last_heartbeat_at, now))
--- a/foxtailworks/discovery/_table.py
+++ b/foxtailworks/discovery/_table.py
@@ -21,6 +21,11 @@
     """Whether its lease hasn't expired."""
     version: int
     """Version of the registry when this row last changed."""
+    grace_s: float = 0.0
+    """Time by which its lease is longer, since a list told of the heartbeat
+    and a later one may not be listed yet."""
+    heard_at: float = float("-inf")
+    """Time of its last heartbeat to this coordinator itself."""
 
 
 class Table:
@@ -30,6 +35,7 @@
         self._rows: dict[Key, Row] = {}
         self._by_name: dict[_instance.InstanceId, set[Key]] = {}
         self._by_address: dict[ids.Address, set[Key]] = {}
+        self._by_token: dict[_instance.ContentToken, Row] = {}
 
     def __len__(self) -> int:
         """Return the number of rows."""
@@ -39,6 +45,10 @@
         """Return the row of an identity; None when there is none."""
         return self._rows.get(key)
 
+    def with_token(self, token: _instance.ContentToken) -> Row | None:
+        """Return the row whose instance has a token; None without one."""
+        return self._by_token.get(token)
+
     def rows(self) -> abc.Iterable[Row]:
         """Return all rows in order of insertion."""
         return self._rows.values()
@@ -72,6 +82,7 @@
         self._rows[key] = row
         self._by_name.setdefault(key[0], set()).add(key)
         self._by_address.setdefault(row.instance.address, set()).add(key)
+        self._by_token[row.instance.content_token()] = row
 
     def replace(self, row: Row, instance: _instance.Instance) -> None:
         """Replace the instance of a row by a newer state of it."""
@@ -79,12 +90,16 @@
             self._unindex_address(row)
             keys = self._by_address.setdefault(instance.address, set())
             keys.add(instance.key)
+        if not instance.is_same_but_counters(row.instance):
+            self._by_token.pop(row.instance.content_token(), None)
+            self._by_token[instance.content_token()] = row
         row.instance = instance
 
     def remove(self, row: Row) -> None:
         """Remove a row from the table and its indexes."""
         key = row.instance.key
         del self._rows[key]
+        self._by_token.pop(row.instance.content_token(), None)
         self._unindex_address(row)
         names = self._by_name[key[0]]
         names.discard(key)
