Accept 2,048 connections

Cause: upstreams keep their connections; 3,000 of them at two remaining coordinators are 1,500 each, of which all above 1,024 were closed at once. Change: the default limit is 2,048, half of the 4,096 descriptors.

--- a/foxtailworks/httpd/_server.py
+++ b/foxtailworks/httpd/_server.py
@@ -35,8 +35,10 @@
     """Largest request line and headers together, in bytes."""
     idle_s: float = 10.0
     """Seconds to receive a complete request; then the connection is closed."""
-    connections: int = 1024
-    """Most open connections; further ones are closed immediately."""
+    connections: int = 2048
+    """Most open connections; further ones are closed immediately.  Enough for
+    3,900 upstreams at two remaining coordinators, and half the descriptors
+    of a process."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
