--- a/foxtailworks/coordinator/_dispatch.py
+++ b/foxtailworks/coordinator/_dispatch.py
@@ -4,6 +4,7 @@
 import typing
 
 from foxtailworks.coordinator import _messages
+from foxtailworks.coordinator import _relay
 from foxtailworks import ids
 from foxtailworks import logs
 from foxtailworks import polling
@@ -20,8 +21,10 @@
     def on_consensus_message(self, msg: _messages.ConsensusMessage) -> None:
         """Handle a consensus message."""
 
-    def on_heartbeats(self, msg: _messages.Heartbeats) -> None:
-        """Handle relayed heartbeats."""
+    def on_heartbeat_message(
+        self, msg: _relay.Received, src: ids.Address
+    ) -> None:
+        """Handle what another coordinator sent about heartbeats."""
 
     def on_poll(self, msg: polling.Poll, src: ids.Address) -> None:
         """Handle an edge host's poll."""
@@ -55,9 +58,11 @@
     handler.on_consensus_message(msg)
 
 
-@dispatch.register
-def _(msg: _messages.Heartbeats, handler: Handler, src: ids.Address) -> None:
-    handler.on_heartbeats(msg)
+@dispatch.register(_messages.Heartbeats)
+@dispatch.register(_messages.HeartbeatList)
+@dispatch.register(_messages.HeartbeatRequest)
+def _(msg: _relay.Received, handler: Handler, src: ids.Address) -> None:
+    handler.on_heartbeat_message(msg, src)
 
 
 @dispatch.register
--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -72,12 +72,19 @@
     """All simulated hosts, the network between them, and the clock."""
 
     def __init__(
-        self, count, seeds=3, seed=1, folder="absent", shares_load=False
+        self,
+        count,
+        seeds=3,
+        seed=1,
+        folder="absent",
+        lease_s=3.0,
+        shares_load=False,
     ):
         self.shares_load = shares_load
         self.rng = random.Random(seed)
         self.now = 0.0
         self.loss_rate = 0.0
+        self.lease_s = lease_s
         self.blocked = set()
         self.folder = pathlib.Path(folder)
         self.seeds = tuple(address(n) for n in range(1, seeds + 1))
@@ -107,7 +114,7 @@
             self.folder / f"k{number}",
             self.seeds,
             host.is_first_start,
-            3.0,
+            self.lease_s,
             upkeep.Policy(),
             self.shares_load,
         )
