--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -161,7 +161,7 @@
             ids.ZoneId("z1"),
             edge_address(number),
             self.seeds,
-            self.shares_load,
+            shares_load=self.shares_load,
         )
         self.edges[edge_address(number)] = host = edge.Host(
             cfg,
