--- a/foxtailworks/coordinator/tests/test_load.py
+++ b/foxtailworks/coordinator/tests/test_load.py
@@ -92,6 +92,14 @@
     assert pair.views[OTHER] == {7: 3}
 
 
+def test_a_coordinator_that_was_frozen_forgets_what_it_knew():
+    """Guards against a view of seconds ago that looks like a new one."""
+    pair = Pair()
+    pair.run(0.0, 1.0, reports=REPORTS)
+    pair.run(9.0, 9.3, reports=REPORTS[:1])
+    assert pair.views[HOST] == {7: 1, 8: 2}
+
+
 def test_each_side_of_a_partition_sees_its_own_hosts_until_it_heals():
     pair = Pair()
     pair.run(0.0, 1.0, reports=REPORTS)
@@ -199,6 +207,18 @@
     assert view.load(key_of("i-1")) == 4
 
 
+def test_a_coordinator_without_the_setting_is_passed_over():
+    """Guards a rolling change, in which some don't send views yet."""
+    made = make_world()
+    view = open_flows(made)
+    made.run(1.0)
+    target = made.hosts[next(iter(made.edges.values()))._load._target]
+    target.program._load._is_enabled = False
+    made.run(2.0)
+    assert view.is_valid(made.now)
+    assert view.load(key_of("i-1")) == 4
+
+
 def test_without_the_setting_no_view_is_sent():
     made = make_world(shares_load=False)
     view = open_flows(made)
