Spread each host's requests, and limit how upstreams are preferred by the view

Change: only the upstreams with the fewest of a host's own requests are drawn, by weights between 0.2 and 1; a request counts as in progress for twice its target at most where load is shared.

--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import functools
+import math
 import random
 
 from foxtailworks import datagram
@@ -29,6 +30,9 @@
 """Time after its start for which a host is ready without routes: routers
 check twice a second, routes arrive within a tenth of a second, and SYNs
 received before them are held."""
+BUSY_TARGETS = 2.0
+"""Time for which a request is reported as in progress, in targets of its
+route; a longer one is rare, and one that was reset must not count as load."""
 _EVENTS = logs.Events("edge")
 
 
@@ -86,7 +90,9 @@
             cfg.zone,
             rng,
             steering.Config(
-                spares_cold=cfg.spares_cold, heartbeat_s=cfg.heartbeat_s
+                spares_cold=cfg.spares_cold,
+                heartbeat_s=cfg.heartbeat_s,
+                busy_targets=BUSY_TARGETS if cfg.shares_load else math.inf,
             ),
         )
         self._load = _load.LoadReporter(
--- a/foxtailworks/steering/_config.py
+++ b/foxtailworks/steering/_config.py
@@ -77,6 +77,12 @@
     upstream_queue: int = 8
     """Requests that an upstream queues beyond its slots before it refuses
     further ones; from the deployment sheets, as heartbeats don't tell it."""
+    full_weight: float = 0.2
+    """Weight of a full upstream, relative to one with room."""
+    busy_targets: float = float("inf")
+    """Time after a caller's data for which its request counts as in progress
+    unless it ends, in targets of its route; a caller that was reset sends
+    nothing more."""
     kept_zone_load: float = 0.6
     """Load, in requests per slot, up to which a zone keeps its callers'
     flows."""
--- a/foxtailworks/steering/_load_view.py
+++ b/foxtailworks/steering/_load_view.py
@@ -10,7 +10,6 @@
 """
 
 from collections import abc
-import math
 import random
 
 from foxtailworks import discovery
@@ -99,25 +98,25 @@
         candidates: abc.Sequence[discovery.KnownInstance],
         penalty: Penalty,
     ) -> discovery.KnownInstance | None:
-        """Return a candidate that isn't full; None if all are.
+        """Return a candidate, a full one only if all are; None without any.
 
-        :param penalty: returns the evidence against a candidate; only those
-            with the least are drawn
+        Drawn are those with the least evidence against them, and among these
+        the ones with the fewest requests of this host: several at once to one
+        upstream exceed the connections that it accepts.
+
+        :param penalty: returns the evidence against a candidate
         """
-        rooms = [(item, self._room(item.instance)) for item in candidates]
-        free = [(item, room) for item, room in rooms if room > 0]
-        if not free:
+        if not candidates:
             return None
-        penalties = [penalty(item) for item, _ in free]
-        least = min(penalties)
-        usable = [
-            pair
-            for pair, value in zip(free, penalties, strict=True)
-            if value <= least
-        ]
-        zone = self._draw_zone(usable, candidates)
-        near = [pair for pair in usable if pair[0].instance.zone == zone]
-        chosen = self._pick(near or usable)
+        free = [item for item in candidates if self._room(item.instance)]
+        usable = _keep_least(free or candidates, penalty)
+        usable = _keep_least(
+            usable, lambda item: self._flows.busy_count(item.instance.key)
+        )
+        rooms = [(item, self._room(item.instance)) for item in usable]
+        zone = self._draw_zone(rooms, candidates)
+        near = [pair for pair in rooms if pair[0].instance.zone == zone]
+        chosen = self._pick(near or rooms)
         self.sent_away_count += chosen.instance.zone != self._zone
         return chosen
 
@@ -137,21 +136,26 @@
         A cold one counts as more loaded, as without a view.
         """
         slots = max(1, instance.slots)
-        room = slots + self._cfg.upstream_queue - self.load(instance.key)
-        return room - self._cfg.cold_load * slots * bool(instance.cold_ms)
+        cold_load = self._cfg.cold_load * slots * bool(instance.cold_ms)
+        load = self.load(instance.key) + cold_load
+        return max(0.0, slots + self._cfg.upstream_queue - load)
 
     def _pick(
         self, usable: abc.Sequence[_Candidate]
     ) -> discovery.KnownInstance:
-        """Draw a candidate by the square root of its free capacity.
+        """Draw a candidate by its free capacity, within limits.
 
-        Weights that follow the free capacity more closely react too strongly
-        to a view that is 0.2 s old: upstreams fill and empty in turn.
+        Free slots count no more than an empty queue, and one nearly full
+        keeps a small weight: the view is older than a request lasts, so hosts
+        would all meet at the few upstreams that it shows with most room.
         """
+        queue = self._cfg.upstream_queue
+        weights = [
+            min(1.0, max(self._cfg.full_weight, room / queue))
+            for _, room in usable
+        ]
         items = [item for item, _ in usable]
-        return self._rng.choices(
-            items, [math.sqrt(room) for _, room in usable]
-        )[0]
+        return self._rng.choices(items, weights)[0]
 
     def _draw_zone(
         self,
@@ -172,7 +176,7 @@
             for item, room in usable
             if item.instance.zone != self._zone
         )
-        if not rooms:
+        if not any(rooms.values()):
             return self._zone
         return self._rng.choices(list(rooms), list(rooms.values()))[0]
 
@@ -192,3 +196,13 @@
             zone: _zone_share.ZoneLoad(loads[zone], count)
             for zone, count in slots.items()
         }
+
+
+def _keep_least(
+    items: abc.Sequence[discovery.KnownInstance],
+    rating: abc.Callable[[discovery.KnownInstance], float],
+) -> list[discovery.KnownInstance]:
+    """Return the items with the lowest rating."""
+    rated = [(rating(item), item) for item in items]
+    lowest = min(rate for rate, _ in rated)
+    return [item for rate, item in rated if rate <= lowest]
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 import functools
+import math
 import random
 
 from foxtailworks import discovery
@@ -381,11 +382,11 @@
             self._flows.on_closed(packet.flow, upstream, now)
         else:
             expires_at = now + route.timeout_ms / _MS_PER_S
-            busy_until = (
-                expires_at
-                if packet.has_data
-                else min(expires_at, now + self._cfg.answer_end_s)
-            )
+            busy_s = self._cfg.answer_end_s
+            if packet.has_data:
+                target_s = route.target_ms / _MS_PER_S
+                busy_s = self._cfg.busy_targets * (target_s or math.inf)
+            busy_until = min(expires_at, now + busy_s)
             self._flows.on_packet(
                 packet.flow, upstream, expires_at, busy_until
             )
