--- a/foxtailworks/coordinator/tests/test_relay.py
+++ b/foxtailworks/coordinator/tests/test_relay.py
@@ -108,6 +108,25 @@
         assert len(fleet.serving(number)) == 90
 
 
+def test_a_change_arrives_though_two_relays_of_it_are_lost():
+    # Without a repetition it would wait for the next list and a request.
+    fleet = Fleet()
+    fleet.own(1)
+    fleet.run(4.0)
+    lost = collections.Counter()
+
+    def drop(dst, msg):
+        lost[dst] += isinstance(msg, _messages.Heartbeats)
+        is_list = isinstance(msg, _messages.HeartbeatList)
+        return is_list or lost[dst] in (1, 2)
+
+    fleet.drop = drop
+    fleet.states["i-1"] = making.DRAINING
+    fleet.run(HEARTBEAT_S + 0.5)
+    for number in NUMBERS:
+        assert fleet.serving(number) == {"i-1": making.DRAINING}
+
+
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=20)
 @hypothesis.given(st.integers(0, 10_000))
 def test_no_lease_ends_early_because_of_the_list_interval(seed):
