Answer polls without a grant without encoding all instances

Cause: a host that grants no part of a large answer gets a summary, but the answer was encoded first, once for each version of the registry. While 3,000 upstreams start, this was half of a coordinator's profile. Change: with 500 changed instances or more the summary is sent at once.

--- a/foxtailworks/coordinator/_edge_hosts.py
+++ b/foxtailworks/coordinator/_edge_hosts.py
@@ -17,6 +17,9 @@
 
 MAX_CACHED_ANSWERS = 256
 """Maximum number of encoded answers kept; further ones replace all."""
+LARGE_INSTANCES = 500
+"""Instances from which on an answer certainly needs several datagrams: the
+random digits of their ids alone fill two."""
 
 ReadTable: typing.TypeAlias = abc.Callable[[bytes], steering.RouteTable]
 """Function that returns the routes in an operator's document."""
@@ -108,6 +111,8 @@
         by request; without a grant it gets a summary.
         """
         state = self._record(msg, src, document, is_current, now)
+        if msg.max_parts == 0 and self._is_certainly_large(msg):
+            return self._cached_summary(state)
         datagrams = self._cached_answer(msg, state)
         if len(datagrams) > 1:
             self._large.keep(datagrams)
@@ -117,6 +122,15 @@
             return self._cached_summary(state)
         return datagrams[: msg.max_parts]
 
+    def _is_certainly_large(self, msg: polling.Poll) -> bool:
+        """Return whether an answer is large, without encoding it.
+
+        While thousands of upstreams start, each version of the registry would
+        cost an encoding of all of them for hosts that get a summary anyway.
+        """
+        count = self._registry.count_changes(msg.session, msg.registry_version)
+        return count >= LARGE_INSTANCES
+
     def encoded_parts(
         self, msg: polling.PartRequest
     ) -> tuple[bytes, ...] | None:
--- a/foxtailworks/coordinator/tests/test_edge_hosts.py
+++ b/foxtailworks/coordinator/tests/test_edge_hosts.py
@@ -148,6 +148,21 @@
     assert isinstance(answering.encoded[-1], polling.PollAnswer)
 
 
+def test_a_summary_of_many_instances_costs_no_encoding_of_them(answering):
+    # While all upstreams start, each new version would cost another one.
+    count = _edge_hosts.LARGE_INSTANCES
+    for number in range(count):
+        address = ids.Address(f"10.1.{number // 250}.{number % 250}", 80)
+        item = making.instance(f"i-{number}", address=address)
+        answering.registry.announce(item, 0.0)
+    answering.encoded.clear()
+    answering.poll(1, max_parts=0)
+    answering.poll(2, 5, 0, max_parts=0)
+    assert [type(msg) for msg in answering.encoded] == [polling.Summary]
+    answering.poll(3, 5, count - 1, 7, max_parts=0)
+    assert len(answering.encoded[-1].changes.listed) == 1
+
+
 def test_a_host_with_an_earlier_revision_gets_the_changes(answering):
     version = answering.registry.version
     answering.poll(1, 5, version)
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -267,6 +267,14 @@
         for row in self._table.rows():
             row.last_heartbeat_at += gap_s
 
+    def count_changes(self, session: int, since: int) -> int:
+        """Return how many instances :meth:`changes` would list."""
+        if session != self._session or since > self._version:
+            since = 0
+        if since == self._version:
+            return 0
+        return sum(row.version > since for row in self._table.rows())
+
     def changes(self, session: int, since: int) -> Changes:
         """Return the changes since a version of a session."""
         if session != self._session or since > self._version:
