Read all HTTP requests with httptools

Cause: simple requests were recognized by a regular expression, all others were read by h11: two readings of one protocol, of which h11's accepts line folding, bare line feeds, equal lengths given twice and a length beside chunks. Change: httptools (llhttp, strict) reads every request. What llhttp leaves open is checked in one place: one Host, HTTP/1.0 or 1.1 only, no coding but chunked and none in HTTP/1.0, no CONNECT, limits of heads, trailers and bodies. Such requests get 400 and the connection closes. Responses are written by one function, with a reason phrase; h11 is no longer required.

llhttp stops at an upgrade and skips the body. The server goes on with HTTP/1.1 as before: the request is read again without that header. A client that expects 100 Continue now gets it, or 413 at once if its length is above the limit; before, it waited for its own timeout.

--- a/foxtailworks/httpd/__init__.py
+++ b/foxtailworks/httpd/__init__.py
@@ -1,6 +1,7 @@
 """A small HTTP/1.1 server without streaming of bodies.
 
-h11 implements the protocol; this package adds sockets, limits and timeouts.
+httptools parses requests; this package adds sockets, limits, timeouts
+and responses.
 
 Example::
 
@@ -11,12 +12,12 @@
         ...
 """
 
+from foxtailworks.httpd._messages import Request
+from foxtailworks.httpd._messages import Response
 from foxtailworks.httpd._responses import error_response
 from foxtailworks.httpd._responses import redirect
 from foxtailworks.httpd._server import Limits
 from foxtailworks.httpd._server import page
-from foxtailworks.httpd._server import Request
-from foxtailworks.httpd._server import Response
 from foxtailworks.httpd._server import serve
 
 __all__ = [
--- a/foxtailworks/httpd/_server.py
+++ b/foxtailworks/httpd/_server.py
@@ -7,9 +7,8 @@
 import socket
 import typing
 
-import h11
-
-from foxtailworks.httpd import _plain
+from foxtailworks.httpd import _messages
+from foxtailworks.httpd import _parser
 from foxtailworks import ids
 from foxtailworks import logs
 
@@ -39,51 +38,25 @@
     """Most open connections; further ones are closed immediately."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """A complete HTTP request."""
-
-    method: str
-    """HTTP method in upper case."""
-    path: str
-    """Path of the target, without the query."""
-    body: bytes
-    """Request body, may be empty."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Response:
-    """A complete HTTP response."""
+Handler: typing.TypeAlias = abc.Callable[
+    [_messages.Request], abc.Awaitable[_messages.Response]
+]
 
-    status: int
-    """HTTP status code."""
-    body: bytes = b""
-    """Response body, may be empty."""
-    headers: tuple[tuple[str, str], ...] = ()
-    """Headers besides Content-Type and Content-Length."""
-    content_type: str = "application/json"
-    """Media type of the body."""
 
-
-Handler: typing.TypeAlias = abc.Callable[[Request], abc.Awaitable[Response]]
-
-
-def page(path: str, respond: abc.Callable[[], Response]) -> Handler:
+def page(path: str, respond: abc.Callable[[], _messages.Response]) -> Handler:
     """Return a handler for one path; other paths are not found."""
 
-    async def handle(req: Request) -> Response:
-        return respond() if req.path == path else Response(404)
+    async def handle(req: _messages.Request) -> _messages.Response:
+        if req.path != path:
+            return _messages.Response(404)
+        return respond()
 
     return handle
 
 
-_TOO_LARGE = Response(413, b'{"error":"the body is too large"}')
-_MALFORMED = Response(400, b'{"error":"not an HTTP/1.1 request"}')
-_FAULT = Response(500, b'{"error":"a fault of the program"}')
-
-
-class _TooLarge(Exception):
-    """The request body exceeds its limit."""
+_TOO_LARGE = _messages.Response(413, b'{"error":"the body is too large"}')
+_MALFORMED = _messages.Response(400, b'{"error":"not an HTTP/1.1 request"}')
+_FAULT = _messages.Response(500, b'{"error":"a fault of the program"}')
 
 
 class _Connection:
@@ -103,36 +76,29 @@
         self._is_stopping = False
         self.is_idle = False
         """Whether it has had a response and awaits the next request."""
-        self._is_plain = False
-        # Whether the request under way was read without h11.
-        self._received = b""
-        # Data that was received and not yet passed to h11.
-        self._conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._parser = _parser.Parser(limits.header_bytes, limits.body_bytes)
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
         while True:
             try:
-                req = await self._read()
-            except _TooLarge:
-                await self._write(_TOO_LARGE, "GET")
+                received = self._parser.take() or await self._read()
+            except _parser.TooLargeError:
+                await self._write(_TOO_LARGE, is_last=True)
                 return
-            except h11.RemoteProtocolError:
-                await self._write(_MALFORMED, "GET")
+            except _parser.MalformedError:
+                await self._write(_MALFORMED, is_last=True)
                 return
-            if req is None:
+            if received is None:
                 return
-            res = await self._respond(req)
-            if self._is_plain:
-                await self._write_plain(res)
-            else:
-                await self._write(res, req.method)
-                if self._conn.our_state is not h11.DONE:
-                    return
-                self._conn.start_next_cycle()
-            if self._is_stopping:
+            self.is_idle = False
+            req = received.request
+            await self._write(
+                await self._respond(req),
+                is_last=received.is_last,
+                has_body=req.method != "HEAD",
+            )
+            if received.is_last or self._is_stopping:
                 return
             self.is_idle = True
 
@@ -140,7 +106,7 @@
         """Close the connection after the response under way."""
         self._is_stopping = True
 
-    async def _respond(self, req: Request) -> Response:
+    async def _respond(self, req: _messages.Request) -> _messages.Response:
         """Return the handler's response, or 500 if the handler raises."""
         try:
             return await self._handle(req)
@@ -149,78 +115,28 @@
             _EVENTS.error("request_fault", path=req.path, reason=repr(exc))
             return _FAULT
 
-    async def _read(self) -> Request | None:
-        """Read the next complete request; return None when the peer closes."""
+    async def _read(self) -> _parser.Received | None:
+        """Read until a request is complete; return None if none follows."""
         async with asyncio.timeout(self._limits.idle_s):
-            req = await self._read_plain()
-            self._is_plain = req is not None
-            return req or await self._read_with_h11()
-
-    async def _read_plain(self) -> Request | None:
-        """Read a request of the simplest form.
-
-        :returns: None for another one, whose data is passed to h11
-        """
-        if self._conn.trailing_data != (b"", False):
-            return None
-        data = self._received or await self._reader.read(READ_BYTES)
-        self._received = b""
-        head = _plain.read_head(data, self._limits.header_bytes)
-        max_body = min(READ_BYTES, self._limits.body_bytes)
-        if head is None or head.body_size > max_body:
-            self._conn.receive_data(data)
-            return None
-        self.is_idle = False
-        end = head.size + head.body_size
-        while len(data) < end:
-            more = await self._reader.read(READ_BYTES)
-            data += more
-            if not more:
-                self._conn.receive_data(data)
-                return None
-        self._received = data[end:]
-        return _request(head.method, head.target, data[head.size : end])
-
-    async def _read_with_h11(self) -> Request | None:
-        """Read a request of any form."""
-        head: h11.Request | None = None
-        body = bytearray()
-        while True:
-            event = self._conn.next_event()
-            if event is h11.NEED_DATA:
+            while (received := self._parser.take()) is None:
+                if self._parser.take_continue():
+                    self._writer.write(_messages.CONTINUE)
                 data = await self._reader.read(READ_BYTES)
-                self._conn.receive_data(data)
-            elif isinstance(event, h11.Request):
-                self.is_idle = False
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.body_bytes:
-                    raise _TooLarge
-            elif isinstance(event, h11.EndOfMessage):
-                assert head is not None
-                return _request(head.method, head.target, bytes(body))
-            else:
-                return None
-
-    async def _write_plain(self, res: Response) -> None:
-        """Write the response to a request that was read without h11."""
-        headers = _headers(res)
-        data = _plain.write_response(res.status, headers, res.body)
-        await self._send(data)
-
-    async def _write(self, res: Response, method: str) -> None:
-        """Write one response, without its body for HEAD."""
-        if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        head = self._conn.send(
-            h11.Response(status_code=res.status, headers=list(_headers(res)))
+                if not data:
+                    self._parser.feed_end()
+                    return self._parser.take()
+                self._parser.feed(data)
+                if self._parser.has_head:
+                    self.is_idle = False
+            return received
+
+    async def _write(
+        self, res: _messages.Response, *, is_last: bool, has_body: bool = True
+    ) -> None:
+        """Write one response."""
+        await self._send(
+            _messages.encode(res, is_last=is_last, has_body=has_body)
         )
-        data = head or b""
-        if method != "HEAD":
-            data += self._conn.send(h11.Data(data=res.body)) or b""
-        data += self._conn.send(h11.EndOfMessage()) or b""
-        await self._send(data)
 
     async def _send(self, data: bytes) -> None:
         """Write the data of a response, and wait if the peer reads slowly."""
@@ -231,21 +147,6 @@
             await self._writer.drain()
 
 
-def _request(method: bytes, target: bytes, body: bytes) -> Request:
-    """Return a request from its parts as received."""
-    path = target.decode("ascii", "replace").split("?")[0]
-    return Request(method.decode("ascii"), path, body)
-
-
-def _headers(res: Response) -> tuple[tuple[str, str], ...]:
-    """Return all headers of a response."""
-    return (
-        *res.headers,
-        ("Content-Type", res.content_type),
-        ("Content-Length", str(len(res.body))),
-    )
-
-
 def _set_socket_options(writer: asyncio.StreamWriter) -> None:
     """Set socket options, so that an unresponsive peer is detected."""
     sock = writer.get_extra_info("socket")
--- a/foxtailworks/warmstart/_imports.py
+++ b/foxtailworks/warmstart/_imports.py
@@ -12,7 +12,7 @@
     "logbook",
     "cattrs",
     "msgspec",
-    "h11",
+    "httptools",
     "foxtailworks.steering",
     "foxtailworks.agreement",
     "foxtailworks.coordinator",
