--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -3,16 +3,18 @@
 import asyncio
 from collections import abc
 import contextlib
-import functools
 import random
 import uuid
 
 from foxtailworks import agreement
+from foxtailworks.coordinator import _committed
+from foxtailworks.coordinator import _dispatch
 from foxtailworks.coordinator import _documents
 from foxtailworks.coordinator import _edge_hosts
 from foxtailworks.coordinator import _group
 from foxtailworks.coordinator import _hints
 from foxtailworks.coordinator import _instance_log
+from foxtailworks.coordinator import _load
 from foxtailworks.coordinator import _messages
 from foxtailworks.coordinator import _peers
 from foxtailworks.coordinator import _settings
@@ -81,6 +83,12 @@
         self._edge_hosts = _edge_hosts.EdgeHosts(
             self.registry, self._peers, read_table, self._encode, rng
         )
+        self._load = _load.LoadExchange(
+            cfg.listen_address,
+            cfg.shares_load,
+            self._edge_hosts.is_follower,
+            self._peers.addresses,
+        )
         self._endpoint: datagram.Endpoint | None = None
         self._last_tick = now
         self._group = _group.Group(cfg, self._peers, now)
@@ -90,11 +98,11 @@
         self.documents: _documents.Documents | None = None
         self._open_disk(now)
         self._hints = _hints.Hints(cfg.data_folder, clock)
-        self._restored_document = revisions.NO_DOCUMENT
+        self._committed = _committed.Committed()
         if not cfg.is_first_start:
             saved = self._hints.load()
             self.registry.restore((*saved.gone, *saved.instances), now)
-            self._restored_document = saved.document
+            self._committed.update(saved.state)
 
     # Disk and node.
 
@@ -229,7 +237,7 @@
 
     def receive(self, msg: object, src: ids.Address) -> None:
         """Handle one received message."""
-        _dispatch(msg, self, src)
+        _dispatch.dispatch(msg, self, src)
         self.process_events()
 
     def on_presence(self, msg: _messages.Presence) -> None:
@@ -240,6 +248,10 @@
             if heartbeats:
                 self._send(_messages.Heartbeats(heartbeats), msg.address)
 
+    def on_heartbeats(self, msg: _messages.Heartbeats) -> None:
+        """Record the heartbeats that another coordinator relays."""
+        self.registry.merge(msg.heartbeats, self._clock())
+
     def on_consensus_message(self, msg: _messages.ConsensusMessage) -> None:
         """Handle a consensus message if it is addressed to this identity."""
         if self.node is None or msg.dst != self.node.replica.keeper:
@@ -254,9 +266,12 @@
     def on_poll(self, msg: polling.Poll, src: ids.Address) -> None:
         """Answer the poll of an edge host."""
         assert self._endpoint is not None
-        document = self._committed_document()
         answer = self._edge_hosts.encoded_answer(
-            msg, src, document, self._is_current(), self._clock()
+            msg,
+            src,
+            self._committed_state(),
+            self._is_current(),
+            self._clock(),
         )
         self._endpoint.send_encoded(answer, src)
 
@@ -271,6 +286,12 @@
         else:
             self._endpoint.send_encoded(parts, src)
 
+    def on_load(
+        self, msg: polling.LoadReport | _messages.LoadSum, src: ids.Address
+    ) -> None:
+        """Record the load that a host or a coordinator reports."""
+        self._load.on_message(msg, src, self._clock())
+
     def keep_reply(self, datagrams: tuple[bytes, ...]) -> None:
         """Keep the saved reply, whose parts hosts may still request."""
         if datagrams:
@@ -280,9 +301,9 @@
         self, msg: polling.Poll, src: ids.Address
     ) -> polling.PollAnswer:
         """Return the answer to an edge host's poll."""
-        document = self._committed_document()
+        state = self._committed_state()
         return self._edge_hosts.answer(
-            msg, src, document, self._is_current(), self._clock()
+            msg, src, state, self._is_current(), self._clock()
         )
 
     def _is_current(self) -> bool:
@@ -294,23 +315,16 @@
 
     def _notify_edge_hosts(self, now: float) -> None:
         """Notify the following hosts of changes if a notice is due."""
-        revision = self._committed_document().revision
-        msg, addresses = self._edge_hosts.notice(revision, now)
+        state = self._committed_state()
+        msg, addresses = self._edge_hosts.notice(state, now)
         for address in addresses:
             self._send(msg, address)
 
-    def _committed_document(self) -> revisions.StoredDocument:
-        """Return the newest document that is known to be committed.
-
-        After a restart that is the one from the hints on disk, until a
-        leader has sent its commit index.
-        """
+    def _committed_state(self) -> revisions.State:
+        """Return the newest state that is known to be committed."""
         if self.documents is None:
-            return self._restored_document
-        document = self.documents.current
-        if document.revision > self._restored_document.revision:
-            self._restored_document = document
-        return self._restored_document
+            return self._committed.state
+        return self._committed.update(self.documents.state)
 
     # Periodic work.
 
@@ -334,11 +348,12 @@
             self._group.on_tick(self.node, now)
         self.process_events()
         self._notify_edge_hosts(now)
-        document = self._committed_document()
+        self._send_loads(now)
+        state = self._committed_state()
         self._hints.save_if_due(
             self.registry,
-            document,
-            lambda live: self._edge_hosts.start_reply(live, document, now),
+            state,
+            lambda live: self._edge_hosts.start_reply(live, state, now),
             now,
         )
 
@@ -374,6 +389,14 @@
             for address in self._peers.addresses():
                 self._send(msg, address)
 
+    def _send_loads(self, now: float) -> None:
+        """Send the sum or view of load that is due, encoded once for all."""
+        assert self._endpoint is not None
+        for due in self._load.due(now):
+            datagrams = self._encode(due.msg)
+            for address in due.targets:
+                self._endpoint.send_encoded(datagrams, address)
+
     def put_seeds(self, seeds: tuple[ids.Address, ...]) -> None:
         """Replace the seeds after a change of the settings."""
         self._peers.put_seeds(seeds, self._clock())
@@ -385,43 +408,6 @@
             self.process_events()
 
 
-@functools.singledispatch
-def _dispatch(msg: object, program: Coordinator, src: ids.Address) -> None:
-    """Pass a message to the handler of its type."""
-    _EVENTS.warning("message_unexpected", kind=type(msg).__name__)
-
-
-@_dispatch.register
-def _(msg: _messages.Presence, program: Coordinator, src: ids.Address) -> None:
-    program.on_presence(msg)
-
-
-@_dispatch.register
-def _(
-    msg: _messages.ConsensusMessage, program: Coordinator, src: ids.Address
-) -> None:
-    program.on_consensus_message(msg)
-
-
-@_dispatch.register
-def _(
-    msg: _messages.Heartbeats, program: Coordinator, src: ids.Address
-) -> None:
-    program.registry.merge(msg.heartbeats, program._clock())
-
-
-@_dispatch.register
-def _(msg: polling.Poll, program: Coordinator, src: ids.Address) -> None:
-    program.on_poll(msg, src)
-
-
-@_dispatch.register
-def _(
-    msg: polling.PartRequest, program: Coordinator, src: ids.Address
-) -> None:
-    program.on_part_request(msg, src)
-
-
 @contextlib.asynccontextmanager
 async def opened(
     cfg: _settings.Settings,
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -10,6 +10,8 @@
 from foxtailworks import datagram
 from foxtailworks import discovery
 from foxtailworks.edge import _audit
+from foxtailworks.edge import _link
+from foxtailworks.edge import _load
 from foxtailworks.edge import _scrape
 from foxtailworks import errors
 from foxtailworks import ids
@@ -42,6 +44,12 @@
     """UDP address that receives the coordinators' answers."""
     seeds: tuple[ids.Address, ...]
     """Listen addresses of the coordinators that are polled first."""
+    spares_cold: bool = False
+    """Whether cold upstreams get no new flows."""
+    heartbeat_s: float = 1.2
+    """Interval of upstreams' heartbeats in seconds."""
+    shares_load: bool = False
+    """Whether the host reports its load and uses the view of all hosts."""
 
     def __post_init__(self) -> None:
         """Reject settings without a seed coordinator."""
@@ -57,6 +65,7 @@
     :param clock: seconds that also pass while the process is stopped
     :param carry_out: carries out the decisions on packets that had to wait
     :param describe: returns a readable name of a flow
+    :param link: queue of the host's own link, for its metrics
     """
 
     def __init__(
@@ -66,11 +75,23 @@
         rng: random.Random,
         carry_out: abc.Callable[[steering.DuePacket], None],
         describe: _audit.Describe = bytes.hex,
+        link: _link.Link | None = None,
     ) -> None:
         self._cfg = cfg
         self._clock = clock
+        self._link = link
         self.roster = discovery.Roster()
-        self.steering = steering.Steering(self.roster, cfg.zone, rng)
+        self.steering = steering.Steering(
+            self.roster,
+            cfg.zone,
+            rng,
+            steering.Config(
+                spares_cold=cfg.spares_cold, heartbeat_s=cfg.heartbeat_s
+            ),
+        )
+        self._load = _load.LoadReporter(
+            cfg.shares_load, self.steering.load_view
+        )
         self._tables = steering.TableDecoder()
         self._needs_whole_table = False
         self._started_at = clock()
@@ -127,8 +148,17 @@
                 "Packets that wait for their upstream or for room.",
                 float(self.steering.waiting_count),
             ),
+            "evacuated_zones": (
+                "Zones whose upstreams get no new flows.",
+                float(len(self.steering.eligibility.zones)),
+            ),
+            "evacuation_number": (
+                "Evacuation in force.",
+                float(self.steering.eligibility.number),
+            ),
         }
-        return _scrape.render(self._audit.metrics, gauges)
+        gauges |= self._load.gauges(now)
+        return _scrape.render(self._audit.metrics, gauges, self._link)
 
     def withdraw(self) -> None:
         """Stop being ready; packets that still arrive are served."""
@@ -191,7 +221,8 @@
         self._transfers.on_parts_gone(src, msg.number)
 
     def on_notice(self, msg: polling.Notice, src: ids.Address) -> None:
-        """Poll a coordinator that has something new."""
+        """Apply an evacuation; poll a coordinator that has something new."""
+        self._put_evacuation(msg.evacuation, src)
         has_changes = self.roster.position(src) != (
             msg.session,
             msg.registry_version,
@@ -214,6 +245,7 @@
         self.roster.on_tick(now)
         self._request_parts(now)
         self._poll_if_due(now)
+        self._report_load(now)
 
     def _poll_if_due(self, now: float) -> None:
         """Poll the coordinators that are due, or all after a new suspicion."""
@@ -230,6 +262,17 @@
         for due in self._schedule.due(now, self._need(now)):
             self._poll(due, now)
 
+    def on_load_view(self, msg: polling.LoadView, src: ids.Address) -> None:
+        """Use the load of all hosts for the placement of new flows."""
+        self._load.on_view(msg, src, self._clock())
+
+    def _report_load(self, now: float) -> None:
+        """Send a report of this host's load if one is due."""
+        assert self._endpoint is not None
+        due = self._load.due(lambda: self._schedule.followed(now), now)
+        if due is not None:
+            self._endpoint.send(due.msg, due.target)
+
     def _need(self, now: float) -> polling.Need:
         """Return what this host needs from coordinators now."""
         if not self.steering.revision and not self._transfers.is_downloading:
@@ -290,6 +333,20 @@
             _EVENTS.info("coordinator_regained", coordinator=src)
         self.steering.suspicions.put_suspected(msg.suspected, now)
         self._schedule.add(msg.coordinators, now)
+        self._put_evacuation(msg.evacuation, src)
+
+    def _put_evacuation(
+        self, evacuation: polling.Evacuation, src: ids.Address
+    ) -> None:
+        """Put an evacuation in force unless a later one already is."""
+        number, zones = evacuation.number, evacuation.zones
+        if self.steering.put_evacuation(number, zones, self._clock()):
+            _EVENTS.info(
+                "evacuation_in_force",
+                number=number,
+                zones=",".join(zones),
+                coordinator=src,
+            )
 
 
 @functools.singledispatch
@@ -318,6 +375,11 @@
     host.on_notice(msg, src)
 
 
+@_dispatch.register
+def _(msg: polling.LoadView, host: Host, src: ids.Address) -> None:
+    host.on_load_view(msg, src)
+
+
 @contextlib.asynccontextmanager
 async def opened(
     cfg: Settings,
@@ -326,18 +388,21 @@
     carry_out: abc.Callable[[steering.DuePacket], None],
     describe: _audit.Describe,
     stop: asyncio.Event,
+    link: _link.Link | None = None,
 ) -> abc.AsyncIterator[Host]:
     """Run an edge host for the duration of the block.
 
     :param stop: event that is set when a fault has ended the host
+    :param link: queue of the host's own link, which messages are charged to
     """
-    host = Host(cfg, clock, rng, carry_out, describe)
+    host = Host(cfg, clock, rng, carry_out, describe, link)
     async with datagram.open_endpoint(
         cfg.peer_address,
         polling.CODEC,
         host.receive,
         clock,
         on_part=host.on_part,
+        on_sent=None if link is None else link.charge,
     ) as endpoint:
         host.attach(endpoint)
         async with service.run_periodically(host.on_tick, TICK_S, clock, stop):
