--- a/foxtailworks/steering/_load_view.py
+++ b/foxtailworks/steering/_load_view.py
@@ -98,7 +98,7 @@
         candidates: abc.Sequence[discovery.KnownInstance],
         penalty: Penalty,
     ) -> discovery.KnownInstance | None:
-        """Return a candidate, a full one only if all are; None without any.
+        """Return a candidate; None without any.
 
         Drawn are those with the least evidence against them, and among these
         the ones with the fewest requests of this host: several at once to one
@@ -108,8 +108,7 @@
         """
         if not candidates:
             return None
-        free = [item for item in candidates if self._room(item.instance)]
-        usable = _keep_least(free or candidates, penalty)
+        usable = _keep_least(self._without_full(candidates), penalty)
         usable = _keep_least(
             usable, lambda item: self._flows.busy_count(item.instance.key)
         )
@@ -140,6 +139,17 @@
         load = self.load(instance.key) + cold_load
         return max(0.0, slots + self._cfg.upstream_queue - load)
 
+    def _without_full(
+        self, candidates: abc.Sequence[discovery.KnownInstance]
+    ) -> abc.Sequence[discovery.KnownInstance]:
+        """Return the candidates that aren't full, or all if few are left.
+
+        All hosts see the same few, and would fill them within the age of a
+        view.
+        """
+        free = [item for item in candidates if self._room(item.instance)]
+        return free if 2 * len(free) >= len(candidates) else candidates
+
     def _pick(
         self, usable: abc.Sequence[_Candidate]
     ) -> discovery.KnownInstance:
