--- a/foxtailworks/service/_settings_file.py
+++ b/foxtailworks/service/_settings_file.py
@@ -56,18 +56,21 @@
     """
     for name in names:
         if name not in known:
-            _warn_once("setting_unknown", what, name)
+            _warn_unknown(what, name)
 
 
+@functools.lru_cache(maxsize=256)
 def warn_missing(what: str, name: str) -> None:
     """Log a value without which a part of the settings has no effect.
 
+    As for unknown names, once: the file is read again at each change.
+
     :param what: part of the settings
     """
-    _warn_once("setting_missing", what, name)
+    _EVENTS.warning("setting_missing", what=what, name=name)
 
 
 @functools.lru_cache(maxsize=256)
-def _warn_once(event: str, what: str, name: str) -> None:
-    """Log a setting the first time; the file is read again at a change."""
-    _EVENTS.warning(event, what=what, name=name)
+def _warn_unknown(what: str, name: str) -> None:
+    """Log a name that this release doesn't know, the first time."""
+    _EVENTS.warning("setting_unknown", what=what, name=name)
