--- a/foxtailworks/coordinator/__init__.py
+++ b/foxtailworks/coordinator/__init__.py
@@ -14,8 +14,8 @@
 
 from foxtailworks.coordinator._documents import Documents
 from foxtailworks.coordinator._messages import CODEC
+from foxtailworks.coordinator._opened import opened
 from foxtailworks.coordinator._program import Coordinator
-from foxtailworks.coordinator._program import opened
 from foxtailworks.coordinator._settings import Settings
 from foxtailworks.coordinator._undecided import undecided_response
 
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -1,8 +1,6 @@
 """The coordinator: connects node, registry, disk and datagrams."""
 
-import asyncio
 from collections import abc
-import contextlib
 import random
 import uuid
 
@@ -28,12 +26,7 @@
 from foxtailworks import polling
 from foxtailworks import replicated
 from foxtailworks import revisions
-from foxtailworks import service
-from foxtailworks import udp
-from foxtailworks import warmstart
 
-TICK_S = 0.05
-"""Interval between ticks: half the heartbeat interval of the consensus."""
 REOPEN_INTERVAL_S = 0.5
 """Interval between attempts to open a disk that refused a write."""
 STOPPED_GAP_S = 1.0
@@ -41,8 +34,6 @@
 COMPACT_ENTRIES = 64
 """Applied entries after which a snapshot is taken; few, as documents are
 large."""
-LEAVE_S = 0.3
-"""Time for which a stopping coordinator waits for its last messages."""
 
 _EVENTS = logs.Events("coordinator")
 
@@ -408,39 +399,3 @@
         if self.node is not None:
             self.node.transfer_leadership(self._clock())
             self.process_events()
-
-
-@contextlib.asynccontextmanager
-async def opened(
-    cfg: _settings.Settings,
-    read_table: _edge_hosts.ReadTable,
-    clock: abc.Callable[[], float],
-    rng: random.Random,
-    stop: asyncio.Event,
-    early: warmstart.Responder | None = None,
-) -> abc.AsyncIterator[Coordinator]:
-    """Run a coordinator until the end of the ``async with`` block.
-
-    :param stop: event that is set when a fault has ended the coordinator
-    :param early: answered polls at the listen address until now
-    """
-    program = Coordinator(cfg, read_table, clock, rng)
-    async with datagram.open_endpoint(
-        cfg.listen_address,
-        _messages.CODEC,
-        program.receive,
-        clock,
-        early.socket if early else None,
-    ) as endpoint:
-        program.attach(endpoint)
-        program.keep_reply(early.reply_datagrams if early else ())
-        for data, peer in early.take_unanswered() if early else ():
-            endpoint.receive(data, udp.address_of(*peer))
-        async with service.run_periodically(
-            program.on_tick, TICK_S, clock, stop
-        ):
-            try:
-                yield program
-            finally:
-                program.leave()
-                await asyncio.sleep(LEAVE_S)
--- a/foxtailworks/edge/_host.py
+++ b/foxtailworks/edge/_host.py
@@ -11,6 +11,7 @@
 from foxtailworks import datagram
 from foxtailworks import discovery
 from foxtailworks.edge import _audit
+from foxtailworks.edge import _gauges
 from foxtailworks.edge import _link
 from foxtailworks.edge import _load
 from foxtailworks.edge import _scrape
@@ -127,41 +128,17 @@
     def metrics(self) -> bytes:
         """Return the metrics in Prometheus' text format."""
         now = self._clock()
-        gauges = {
-            "revision": ("Routes in force.", float(self.steering.revision)),
+        gauges = _gauges.of_steering(self.steering)
+        gauges |= _gauges.of_transfers(self._transfers)
+        gauges |= {
             "strangers": (
                 "Messages from addresses that aren't coordinators.",
                 float(self._stranger_messages),
             ),
-            "flows": ("Flows remembered.", float(self.steering.flow_count)),
             "coordinators": (
                 "Coordinators that answer.",
                 float(self.roster.answering_count(now)),
             ),
-            "parts_outstanding": (
-                "Parts of large answers granted or requested.",
-                float(self._transfers.outstanding),
-            ),
-            "parts_repeated": (
-                "Parts of large answers requested again.",
-                float(self._transfers.repeated_count),
-            ),
-            "answers_abandoned": (
-                "Large answers given up before all parts had come.",
-                float(self._transfers.abandoned_count),
-            ),
-            "waiting": (
-                "Packets that wait for their upstream or for room.",
-                float(self.steering.waiting_count),
-            ),
-            "evacuated_zones": (
-                "Zones whose upstreams get no new flows.",
-                float(len(self.steering.eligibility.zones)),
-            ),
-            "evacuation_number": (
-                "Evacuation in force.",
-                float(self.steering.eligibility.number),
-            ),
         }
         gauges |= self._load.gauges(now)
         return _scrape.render(self._audit.metrics, gauges, self._link)
--- a/foxtailworks/steering/_decisions.py
+++ b/foxtailworks/steering/_decisions.py
@@ -51,3 +51,11 @@
 
 
 Decision = Forward | Reset | Drop
+
+
+def may_be_forwarded_later(decision: Decision) -> bool:
+    """Return whether a packet waits for routes or for its upstream."""
+    return isinstance(decision, Drop) and decision.reason in (
+        Reason.NOT_READY,
+        Reason.UNKNOWN_TOKEN,
+    )
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -138,7 +138,7 @@
     ) -> _decisions.Decision:
         """Route a packet after the SYN by its token alone, or hold it."""
         decision = self._decide_packet(packet, now)
-        if _may_be_forwarded_later(decision):
+        if _decisions.may_be_forwarded_later(decision):
             expires_at = now + self._cfg.packet_hold_s
             self._held.hold(packet, expires_at)
         if not isinstance(decision, _decisions.Forward):
@@ -396,11 +396,3 @@
     ) -> tuple[_flows.InstanceKey, ...]:
         """Return the suspected upstreams to report to other hosts."""
         return self.suspicions.reportable(self._roster, now)
-
-
-def _may_be_forwarded_later(decision: _decisions.Decision) -> bool:
-    """Return whether a packet waits for routes or for its upstream."""
-    return isinstance(decision, _decisions.Drop) and decision.reason in (
-        _Reason.NOT_READY,
-        _Reason.UNKNOWN_TOKEN,
-    )
