Poll less often the longer there are no routes; reuse large answers

Hosts without routes poll every coordinator each 0.06 s, 5,000 polls a second to each, and a starting registry's version changes with each announcement, so that each answer of all upstreams is encoded anew. Change: the interval of a host without routes grows with the time that it has waited, up to a second, and a notice still ends it; a large answer is reused for 0.5 s unless routes, evacuation, leader or suspicions have changed.

--- a/foxtailworks/coordinator/_edge_hosts.py
+++ b/foxtailworks/coordinator/_edge_hosts.py
@@ -6,6 +6,7 @@
 
 from foxtailworks.coordinator import _host_count
 from foxtailworks.coordinator import _peers
+from foxtailworks.coordinator import _reusable
 from foxtailworks.coordinator import _start_reply
 from foxtailworks.coordinator import _suspicions
 from foxtailworks import discovery
@@ -43,6 +44,10 @@
     evacuation: polling.Evacuation
     """Committed evacuation."""
 
+    def without_registry(self) -> "_State":
+        """Return the state without what starting processes change."""
+        return self._replace(registry_version=0, coordinators=(), host_count=0)
+
 
 _AnswerKey: typing.TypeAlias = tuple[int, int | None]
 # Version of the registry that a host has, and revision to which it gets
@@ -80,6 +85,7 @@
         self._encode = encode
         self._encoded: dict[_AnswerKey, tuple[bytes, ...]] = {}
         self._encoded_state: _State | None = None
+        self._reusable = _reusable.ReusableAnswers[_AnswerKey, _State]()
 
     def answer(
         self,
@@ -115,7 +121,7 @@
         state = self._record(msg, src, committed, is_current, now)
         if msg.max_parts == 0 and self._is_certainly_large(msg):
             return self._cached_summary(state)
-        datagrams = self._cached_answer(msg, state)
+        datagrams = self._cached_answer(msg, state, now)
         if len(datagrams) > 1:
             self._large.keep(datagrams)
         if len(datagrams) <= max(1, msg.max_parts):
@@ -152,13 +158,26 @@
         self._large.keep(datagrams)
 
     def _cached_answer(
-        self, msg: polling.Poll, state: _State
+        self, msg: polling.Poll, state: _State, now: float
     ) -> tuple[bytes, ...]:
-        """Return the datagrams of the answer to a poll."""
+        """Return the datagrams of the answer to a poll.
+
+        A large one is reused for a while although the registry has changed:
+        while thousands of upstreams start, its version grows with each poll.
+        The host gets the later changes with its next poll.
+        """
         is_same_session = msg.session == self._registry.session
         since = msg.registry_version if is_same_session else 0
         key = since, self._base_for(msg)
-        return self._cached(key, state, lambda: self._make_answer(msg, state))
+        reusable = self._reusable.find(key, state.without_registry(), now)
+        if reusable is not None:
+            return reusable
+        datagrams = self._cached(
+            key, state, lambda: self._make_answer(msg, state)
+        )
+        if len(datagrams) > polling.MAX_OUTSTANDING:
+            self._reusable.put(key, state.without_registry(), datagrams, now)
+        return datagrams
 
     def _cached_summary(self, state: _State) -> tuple[bytes, ...]:
         """Return the datagrams of a summary."""
--- a/foxtailworks/coordinator/tests/test_edge_hosts.py
+++ b/foxtailworks/coordinator/tests/test_edge_hosts.py
@@ -41,11 +41,12 @@
         return tuple(datagram.split(number, b"%d" % number))
 
     def poll(self, number, session=0, version=0, revision=0, **changes):
+        now = changes.pop("now", 0.0)
         msg = polling.Poll(
             ids.HostId(f"e{number}"), session, version, revision, **changes
         )
         return self.edge_hosts.encoded_answer(
-            msg, world.edge_address(number), self.document, True, 0.0
+            msg, world.edge_address(number), self.document, True, now
         )
 
 
@@ -189,3 +190,28 @@
 def test_parts_of_an_unknown_answer_are_gone(answering):
     msg = polling.PartRequest.of(4711, (0,))
     assert answering.edge_hosts.encoded_parts(msg) is None
+
+
+def test_large_answers_are_reused_while_upstreams_start(answering):
+    """Guards against one encoding of all upstreams for each that starts."""
+    answering.table_bytes = 60_000
+    answering.poll(0)
+    for number in range(1, 40):
+        item = making.instance(
+            f"i-{number}", address=ids.Address(f"10.0.3.{number}", 80)
+        )
+        answering.registry.announce(item, 0.0)
+        answering.poll(number, now=0.01 * number)
+    assert len(answering.encoded) == 1
+    answering.poll(41, now=0.6)
+    assert answering.encoded[-1].changes.version == answering.registry.version
+
+
+def test_a_reused_answer_never_hides_an_evacuation(answering):
+    """Guards against an order that reaches starting hosts late."""
+    answering.table_bytes = 60_000
+    answering.poll(0)
+    order = revisions.Evacuation(1, (ids.ZoneId("z1"),))
+    answering.document = revisions.State(answering.document.document, order)
+    answering.poll(1, now=0.1)
+    assert answering.encoded[-1].evacuation.zones == ("z1",)
--- a/foxtailworks/polling/_schedule.py
+++ b/foxtailworks/polling/_schedule.py
@@ -28,7 +28,11 @@
 """Interval while too few coordinators answer, or while a poll is
 unanswered."""
 FIRST_POLL_S = 0.06
-"""Interval while this host has no routes and can't serve callers."""
+"""First interval while this host has no routes and can't serve callers."""
+FIRST_POLL_SHARE = 0.15
+"""Share of the time without routes that the interval grows to, up to
+``FOLLOW_S``: 300 hosts that poll each 0.06 s send 5,000 polls a second to each
+coordinator, which then has no time left to get the routes."""
 URGENT_S = 0.05
 """Shortest interval between two polls for an urgent reason."""
 SILENT_S = 0.75
@@ -55,7 +59,8 @@
     OPINION = enum.auto()
     """Exchange of suspicions: all coordinators are polled."""
     ROUTES = enum.auto()
-    """Its first routes: all coordinators are polled in quick succession."""
+    """Its first routes: all coordinators are polled in quick succession, and
+    less often the longer none has any."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +119,7 @@
         self._seeds: frozenset[ids.Address] = frozenset()
         self._contacts: dict[ids.Address, _Contact] = {}
         self._last_followed: frozenset[ids.Address] = frozenset()
+        self._without_routes_since: float | None = None
         self.put_seeds(seeds, now)
 
     def put_seeds(self, seeds: abc.Iterable[ids.Address], now: float) -> None:
@@ -182,10 +188,14 @@
         for address in followed - self._last_followed:
             self.request_poll(address)
         self._last_followed = followed
+        if need is not Need.ROUTES:
+            self._without_routes_since = None
+        elif self._without_routes_since is None:
+            self._without_routes_since = now
         is_short = len(followed) < min(FOLLOWED, len(self._contacts))
         due = []
         for address, contact in self._contacts.items():
-            if self._poll_time(contact, need, is_short) > now:
+            if self._poll_time(contact, need, is_short, now) > now:
                 continue
             is_followed = address in followed
             longest_s = FOLLOW_S if is_followed else BACKGROUND_S
@@ -199,11 +209,16 @@
         return tuple(due)
 
     def _poll_time(
-        self, contact: _Contact, need: Need, is_short: bool
+        self, contact: _Contact, need: Need, is_short: bool, now: float
     ) -> float:
         """Return the time at which a coordinator is to be polled."""
-        if need is Need.ROUTES:
-            return contact.polled_at + FIRST_POLL_S
+        if self._without_routes_since is not None:
+            waited_s = now - self._without_routes_since
+            interval_s = max(FIRST_POLL_S, FIRST_POLL_SHARE * waited_s)
+            return min(
+                contact.next_poll_at,
+                contact.polled_at + min(FOLLOW_S, interval_s),
+            )
         is_unanswered = contact.unanswered_since is not None
         if need is Need.OPINION or is_short or is_unanswered:
             return min(contact.next_poll_at, contact.polled_at + POLL_S)
--- a/foxtailworks/polling/tests/test_schedule.py
+++ b/foxtailworks/polling/tests/test_schedule.py
@@ -205,3 +205,22 @@
     followers.on_poll(address(1), True, 0.0)
     assert followers.to_notify((1, 1, 0), 9.0) == ()
     assert len(followers) == 0
+
+
+def test_hosts_without_routes_poll_less_often_the_longer_they_wait():
+    """Guards against polls that take all of a coordinator's time.
+
+    300 hosts at a first start polled each 0.06 s until routes came, which
+    never came.
+    """
+    driven = Driven(3)
+    for seconds, most in ((0.4, 7), (3.6, 25), (12.0, 20)):
+        polls = driven.run(seconds, polling.Need.ROUTES)
+        first = [due for _, due in polls if due.address == address(1)]
+        assert len(first) <= most
+    driven.schedule.request_poll(address(1))
+    polls = driven.run(0.1, polling.Need.ROUTES)
+    assert address(1) in [due.address for _, due in polls]
+    driven.run(1.0)
+    again = driven.run(0.3, polling.Need.ROUTES)
+    assert len(again) > 6
