--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 .PHONY: all test format lint types unit behave demo soak bench capacity \
 	rolling \
-	platform-day platform-soak short-soak clean
+	platform-day platform-soak short-soak evacuation-soak clean
 
 all: test
 
@@ -21,7 +21,7 @@
 	.venv/bin/pip install -q -r requirements.txt
 	touch .venv/.done
 
-test: format lint types unit behave short-soak
+test: format lint types unit behave short-soak evacuation-soak
 
 format: .venv/.done
 	$(PY) -m ruff format --check .
@@ -67,5 +67,8 @@
 short-soak: .venv/.done
 	$(PY) platform/soak --seed 1 --seconds 10
 
+evacuation-soak: .venv/.done
+	$(PY) platform/soak --seed 3 --seconds 20 --evacuations
+
 clean:
 	rm -rf build var
