--- a/foxtailworks/steering/_load_view.py
+++ b/foxtailworks/steering/_load_view.py
@@ -100,17 +100,17 @@
     ) -> discovery.KnownInstance | None:
         """Return a candidate; None without any.
 
-        Drawn are those with the least evidence against them, and among these
-        the ones with the fewest requests of this host: several at once to one
-        upstream exceed the connections that it accepts.
+        Drawn are those with the fewest requests of this host, since several at
+        once to one upstream exceed the connections that it accepts.
 
-        :param penalty: returns the evidence against a candidate
+        :param penalty: returns the evidence against a candidate; by so many
+            requests per slot of this host the others must be more loaded
         """
         if not candidates:
             return None
-        usable = _keep_least(self._without_full(candidates), penalty)
         usable = _keep_least(
-            usable, lambda item: self._flows.busy_count(item.instance.key)
+            self._without_full(candidates),
+            lambda item: self._own_load(item.instance) + penalty(item),
         )
         rooms = [(item, self._room(item.instance)) for item in usable]
         zone = self._draw_zone(rooms, candidates)
@@ -129,6 +129,11 @@
         since = own - self._included.get(key, 0)
         return max(own, self._seen.get(key, 0) + since)
 
+    def _own_load(self, instance: discovery.Instance) -> float:
+        """Return this host's requests in progress, per slot."""
+        own = self._flows.busy_count(instance.key)
+        return own / max(1, instance.slots)
+
     def _room(self, instance: discovery.Instance) -> float:
         """Return how many more requests an upstream takes.
 
