--- a/foxtailworks/coordinator/_group.py
+++ b/foxtailworks/coordinator/_group.py
@@ -6,6 +6,7 @@
 from foxtailworks.coordinator import _peers
 from foxtailworks.coordinator import _settings
 from foxtailworks import errors
+from foxtailworks import ids
 from foxtailworks import logs
 from foxtailworks import replicated
 from foxtailworks import upkeep
@@ -16,6 +17,11 @@
 _EVENTS = logs.Events("coordinator")
 
 
+def new_keeper() -> ids.KeeperId:
+    """Create an identity for an empty disk."""
+    return ids.KeeperId(uuid.uuid4().hex)
+
+
 class Group:
     """Determines the membership change that is due and proposes it.
 
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import random
-import uuid
 
 from foxtailworks import agreement
 from foxtailworks.coordinator import _committed
@@ -38,11 +37,6 @@
 _EVENTS = logs.Events("coordinator")
 
 
-def _new_keeper() -> ids.KeeperId:
-    """Create an identity for an empty disk."""
-    return ids.KeeperId(uuid.uuid4().hex)
-
-
 class Coordinator:
     """A coordinator, driven by datagrams and ticks on one event loop.
 
@@ -101,7 +95,7 @@
         """Read the disk and create the node; on failure retry later."""
         self._next_reopen_at = now + REOPEN_INTERVAL_S
         try:
-            disk = journal.Journal(self._open_files(), _new_keeper)
+            disk = journal.Journal(self._open_files(), _group.new_keeper)
         except errors.FoxtailError as exc:
             _EVENTS.failed("disk_refused", exc)
             return
--- a/foxtailworks/steering/_load_view.py
+++ b/foxtailworks/steering/_load_view.py
@@ -100,8 +100,8 @@
     ) -> discovery.KnownInstance | None:
         """Return a candidate; None without any.
 
-        Drawn are those with the fewest requests of this host, since several at
-        once to one upstream exceed the connections that it accepts.
+        Drawn are those with the fewest requests of this host: on a played day
+        without this rule, upstreams reset connections over their cap.
 
         :param penalty: returns the evidence against a candidate; by so many
             requests per slot of this host the others must be more loaded
