Remove a voter that has a successor before the next loss may follow

Cause: an unresponsive voter was removed after 1.2 s if its successor was a learner, but after 6 s if the successor had become a voter. Meanwhile the quorum, 3 of 4, counted a replica that was gone. A process that was stopped as planned didn't tell that it ended.

Evidence: the log of the case has membership_changes voters=4 5.9 s before the exit and none after it.

Why it works: one time, 1.2 s, holds for both kinds of successor, and presence tells of a planned end, so that the leader removes the voter at its next check, before the process has ended. The field is at the end of the message: earlier releases ignore it and never set it. The test of presence beside an earlier release leaves it out, like the other two.

--- a/foxtailworks/coordinator/_messages.py
+++ b/foxtailworks/coordinator/_messages.py
@@ -36,6 +36,9 @@
     command_form: int = 0
     """Highest form of commands in the log that it applies, see
     ``revisions.COMMAND_FORM``; 0 from a release that doesn't tell."""
+    is_leaving: bool = False
+    """Whether its process is about to end as planned; never set by a release
+    that doesn't tell."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailworks/coordinator/_peers.py
+++ b/foxtailworks/coordinator/_peers.py
@@ -99,6 +99,7 @@
             msg.is_first_start,
             now,
             _command_form(msg),
+            msg.is_leaving,
         )
         has_restarted = self._sessions.get(msg.address) != msg.session
         self._sessions[msg.address] = msg.session
--- a/foxtailworks/coordinator/_presence.py
+++ b/foxtailworks/coordinator/_presence.py
@@ -29,6 +29,12 @@
         self._peers = peers
         self._session = session
         self._next_at = now
+        self._is_leaving = False
+
+    def leave(self) -> None:
+        """Announce from now on that the process is about to end."""
+        self._is_leaving = True
+        self._next_at = float("-inf")
 
     def take_due(
         self, node: replicated.Node, now: float
@@ -49,6 +55,7 @@
             self._peers.recent_addresses(now),
             _relay.LIST_FORM,
             revisions.COMMAND_FORM,
+            self._is_leaving,
         )
         members = (item.address for item in replica.membership.members)
         targets = {*members, *self._peers.addresses()}
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -393,7 +393,9 @@
         self._peers.put_seeds(seeds, self._clock())
 
     def leave(self) -> None:
-        """Transfer the leadership before the process ends."""
+        """Announce the end of the process and transfer the leadership."""
+        self._announcer.leave()
+        self._announce_presence(self._clock())
         if self.node is not None:
             self.node.transfer_leadership(self._clock())
             self.process_events()
--- a/foxtailworks/coordinator/tests/test_evacuation.py
+++ b/foxtailworks/coordinator/tests/test_evacuation.py
@@ -58,10 +58,6 @@
         cluster.start(number)
 
 
-def number_of(program):
-    return int(program._cfg.name[1:])
-
-
 def test_an_order_and_its_withdrawal_reach_all_coordinators():
     cluster = start()
     assert order(cluster, NORTH) is True
@@ -111,7 +107,7 @@
 def test_the_next_leader_commits_a_repeated_order():
     cluster = start()
     assert order(cluster, NORTH) is True
-    cluster.stop(number_of(cluster.leader()))
+    cluster.stop(world.number_of(cluster.leader()))
     cluster.run(3.0)
     assert order(cluster, NORTH) is True
     cluster.run(0.5)
@@ -131,7 +127,7 @@
 def test_a_minority_acknowledges_nothing():
     cluster = start()
     old = cluster.leader()
-    number = number_of(old)
+    number = world.number_of(old)
     cluster.partition({number}, set(NUMBERS) - {number})
     assert order(cluster, NORTH, True, old) is not True
     cluster.heal()
@@ -285,7 +281,7 @@
 def test_a_coordinator_that_lags_does_not_mislead_its_hosts():
     cluster = start_with_edges()
     lagging = next(
-        number_of(host.program)
+        world.number_of(host.program)
         for host in cluster.running()
         if host.program is not cluster.leader()
     )
--- a/foxtailworks/coordinator/tests/test_mixed_builds.py
+++ b/foxtailworks/coordinator/tests/test_mixed_builds.py
@@ -87,7 +87,7 @@
 
 def lead_with_this_release(cluster):
     """Make a coordinator of this release the leader."""
-    if test_evacuation.number_of(cluster.leader()) == OLD:
+    if world.number_of(cluster.leader()) == OLD:
         cluster.leader().leave()
         cluster.run(1.0)
 
--- a/foxtailworks/coordinator/tests/test_relay.py
+++ b/foxtailworks/coordinator/tests/test_relay.py
@@ -290,7 +290,7 @@
     [
         (field.name, field.type)
         for field in dataclasses.fields(_messages.Presence)
-        if field.name not in ("list_form", "command_form")
+        if field.name not in ("list_form", "command_form", "is_leaving")
     ],
 )
 
--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -6,6 +6,7 @@
 import random
 
 from foxtailworks import coordinator
+from foxtailworks.coordinator import _opened
 from foxtailworks import edge
 from foxtailworks import ids
 from foxtailworks import journal
@@ -24,6 +25,11 @@
     return ids.Address(f"10.1.{number // 250}.{number % 250}", 7001)
 
 
+def number_of(program):
+    """Return the number of the host that a coordinator runs on."""
+    return int(program._cfg.name[1:])
+
+
 def routes_revision(program):
     """Return the revision that an edge host without routes would get."""
     poll = polling.Poll(ids.HostId("e9"), 0, 0, 0)
@@ -134,6 +140,12 @@
             host.program.documents.abort_waiting()
         host.program = None
 
+    def leave(self, number):
+        """Stop a coordinator as planned, with the time that it asks for."""
+        self.hosts[address(number)].program.leave()
+        self.run(_opened.LEAVE_S)
+        self.stop(number)
+
     def power_off(self, number):
         self.stop(number)
         self.hosts[address(number)].files.crash(self.rng)
--- a/foxtailworks/upkeep/_rules.py
+++ b/foxtailworks/upkeep/_rules.py
@@ -25,12 +25,11 @@
     """A member whose address another replica now announces is removed once the
     member's last contact is this much older than the other's: the time of two
     announcements, so that a late announcement doesn't remove a member."""
-    replace_voter_after_s: float = 1.2
+    remove_voter_after_s: float = 1.2
     """An unresponsive voter is removed after this time if a successor is
-    ready."""
-    remove_voter_after_s: float = 6.0
-    """An unresponsive voter is removed after this time from a group with
-    more than ``min_voters`` voters."""
+    ready, as a learner or as a voter: a group with more than ``min_voters``
+    voters has one. Until then it counts for majorities, so that the group
+    bears one loss less."""
     remove_learner_after_s: float = 10.0
     """An unresponsive learner is removed after this time."""
 
@@ -54,6 +53,8 @@
     """Time of the last announcement, in monotonic seconds."""
     command_form: int = 0
     """Highest form of commands in the log that it applies."""
+    is_leaving: bool = False
+    """Whether its process is about to end as planned."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +89,11 @@
         )
         return self.now - last_contact_at
 
+    def is_leaving(self, keeper: ids.KeeperId) -> bool:
+        """Return whether a replica has announced the end of its process."""
+        status = self.peers.get(keeper)
+        return status is not None and status.is_leaving
+
 
 def initial_membership(
     peers: abc.Iterable[PeerStatus], seeds: abc.Collection[ids.Address]
@@ -120,6 +126,7 @@
     """Return a membership with one change, or None if none is due."""
     return (
         _without_replaced_member(view, policy)
+        or _without_leaving_voter(view, policy)
         or _without_unresponsive(view, policy)
         or _with_voter(view, policy)
         or _with_learner(view, policy)
@@ -154,6 +161,22 @@
     return None
 
 
+def _without_leaving_voter(
+    view: View, policy: Policy
+) -> agreement.Membership | None:
+    """Return the membership without a voter that is leaving, or None.
+
+    It may be gone for good, and the next loss may follow at once. A small
+    group keeps it, since most that leave are only restarted.
+    """
+    voters = view.membership.voters()
+    if len(voters) <= policy.min_voters:
+        return None
+    leaving = (item for item in voters if view.is_leaving(item))
+    keeper = next(leaving, None)
+    return None if keeper is None else view.membership.without(keeper)
+
+
 def _without_unresponsive(
     view: View, policy: Policy
 ) -> agreement.Membership | None:
@@ -162,13 +185,12 @@
     A small group keeps its unresponsive voters until a successor is ready.
     """
     voters = view.membership.voters()
-    successor = next(_ready_learners(view, policy), None)
-    timeout_s = policy.remove_voter_after_s
-    if successor is not None:
-        timeout_s = policy.replace_voter_after_s
+    has_successor = len(voters) > policy.min_voters or any(
+        _ready_learners(view, policy)
+    )
     for keeper in voters:
-        can_shrink = successor is not None or len(voters) > policy.min_voters
-        if can_shrink and view.time_since_contact(keeper) > timeout_s:
+        is_due = view.time_since_contact(keeper) > policy.remove_voter_after_s
+        if has_successor and is_due:
             return view.membership.without(keeper)
     for member in view.membership.members:
         time_since_contact = view.time_since_contact(member.keeper)
@@ -183,14 +205,17 @@
 def _with_voter(view: View, policy: Policy) -> agreement.Membership | None:
     """Return the membership with a ready learner as voter, or None.
 
-    No learner is promoted while a voter is unresponsive: the quorum would
-    include a replica that may be gone, and the next loss would leave too few.
+    No learner is promoted while a voter is unresponsive or leaving: the quorum
+    would include a replica that may be gone, and the next loss would leave too
+    few.
     """
     voters = view.membership.voters()
     if len(voters) >= policy.max_voters:
         return None
     if any(
-        view.time_since_contact(keeper) > policy.live_s for keeper in voters
+        view.time_since_contact(keeper) > policy.live_s
+        or view.is_leaving(keeper)
+        for keeper in voters
     ):
         return None
     voter_addresses = {
@@ -209,7 +234,8 @@
     """Yield the live learners that have stored all committed entries."""
     for member in view.membership.members:
         is_live = view.time_since_contact(member.keeper) < policy.live_s
-        if not member.voter and is_live and view.is_up_to_date(member.keeper):
+        stays = is_live and not view.is_leaving(member.keeper)
+        if not member.voter and stays and view.is_up_to_date(member.keeper):
             yield member
 
 
@@ -220,7 +246,7 @@
     """
     for item in view.peers.values():
         is_live = view.now - item.last_contact_at < policy.live_s
-        can_join = item.group in ("", view.group)
+        can_join = item.group in ("", view.group) and not item.is_leaving
         if not is_live or not can_join:
             continue
         if view.membership.find(item.keeper) is None:
--- a/foxtailworks/upkeep/tests/test_rules.py
+++ b/foxtailworks/upkeep/tests/test_rules.py
@@ -1,5 +1,7 @@
 """The rules change one member at a time, and only if that is safe."""
 
+import dataclasses
+
 from foxtailworks import agreement
 from foxtailworks import ids
 from foxtailworks import upkeep
@@ -101,6 +103,39 @@
     assert next_votes(four, *long) == dict.fromkeys("abc", True)
 
 
+def test_a_voter_with_a_successor_is_removed_within_the_users_catch_up_time():
+    # Guards against a removed voter that counts for majorities for longer
+    # than the users let the next loss wait, 4 s.
+    four = (*THREE, member("d", 4))
+    assert next_votes(four, *TWO_LIVE, peer("d", 4, 2.0)) == dict.fromkeys(
+        "abc", True
+    )
+
+
+def test_a_leaving_voter_is_removed_at_once_if_it_has_a_successor():
+    # Guards against a quorum that includes a host which has announced its
+    # end, when the next loss follows at once.
+    four = (*THREE, member("d", 4))
+    leaving = dataclasses.replace(peer("d", 4), is_leaving=True)
+    assert next_votes(four, *TWO_LIVE, leaving) == dict.fromkeys("abc", True)
+
+
+def test_a_leaving_voter_stays_in_a_small_group():
+    # Guards against two voters that both must answer during each restart.
+    leaving = dataclasses.replace(peer("c", 3), is_leaving=True)
+    assert next_votes(THREE, peer("b", 2), leaving) is None
+    members = (*THREE, member("d", 4, voter=False))
+    assert next_votes(members, peer("b", 2), leaving, peer("d", 4)) is None
+
+
+def test_a_leaving_replica_neither_joins_nor_is_promoted():
+    # Guards against a replica that is added again while its process ends.
+    leaving = dataclasses.replace(peer("d", 4), is_leaving=True)
+    assert next_votes(THREE, *TWO_LIVE, leaving) is None
+    members = (*THREE, member("d", 4, voter=False))
+    assert next_votes(members, *TWO_LIVE, leaving) is None
+
+
 def test_replica_of_another_group_is_ignored():
     assert next_votes(THREE, *TWO_LIVE, peer("z", 9, group="other")) is None
 
