Let a late withdrawal end no later start of an instance

Cause: a DELETE names no start. The registry marked the latest incarnation of the id as gone, whatever its state, when the DELETE of the earlier one arrived late.

Why it works: an upstream drains for drainMs before it leaves. Where earlier starts of the id are known, a withdrawal ends the latest one only if that has been draining for so long; else it is acknowledged and changes nothing. The only start of an id is withdrawn as before.

--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -65,7 +65,9 @@
         self._rng = rng
         now = clock()
         self._session = rng.getrandbits(62)
-        self.registry = discovery.Registry(self._session, cfg.lease_s)
+        self.registry = discovery.Registry(
+            self._session, cfg.lease_s, cfg.drain_s
+        )
         self._peers = _peers.Peers(cfg.listen_address, cfg.seeds, now)
         self._committed = _committed.Committed()
         self._edge_hosts = _edge_hosts.EdgeHosts(
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -98,11 +98,16 @@
     :param session: number that differs at each start of the process
     :param lease_s: time without a heartbeat after which an instance is no
         longer live
+    :param drain_s: shortest time from the announcement of an instance that it
+        drains to its withdrawal
     """
 
-    def __init__(self, session: int, lease_s: float) -> None:
+    def __init__(
+        self, session: int, lease_s: float, drain_s: float = 0.0
+    ) -> None:
         self._session = session
         self._lease_s = lease_s
+        self._drain_s = drain_s
         self._table = _table.Table()
         self._version = 0
         self._digest = 0
@@ -176,12 +181,29 @@
             or row.instance.state is _instance.InstanceState.GONE
         )
 
-    def withdraw(self, name: _instance.InstanceId, now: float) -> None:
-        """Mark the latest incarnation of an id as gone."""
+    def withdraw(self, name: _instance.InstanceId, now: float) -> bool:
+        """Mark the latest incarnation of an id as gone if it is withdrawn.
+
+        A withdrawal doesn't say which start it is of, and one that was held
+        up may arrive after the next start.
+
+        :returns: false if it is one of an earlier incarnation
+        """
         row = self._table.newest(name)
-        if row is not None:
-            gone = row.instance.with_state(_instance.InstanceState.GONE)
-            self.announce(gone, now)
+        if row is None:
+            return True
+        if self._table.has_earlier(row) and not self._may_withdraw(row, now):
+            return False
+        gone = row.instance.with_state(_instance.InstanceState.GONE)
+        self.announce(gone, now)
+        return True
+
+    def _may_withdraw(self, row: _table.Row, now: float) -> bool:
+        """Return whether an instance has drained for long enough to leave."""
+        return (
+            row.instance.state is not _instance.InstanceState.READY
+            and now - row.draining_since >= self._drain_s
+        )
 
     def merge(
         self, heartbeats: abc.Iterable[RelayedHeartbeat], now: float
@@ -333,6 +355,8 @@
             row.grace_s = grace_s
         row.is_live = now <= row.last_heartbeat_at + self._lease_of(row)
         if instance.supersedes(before):
+            if before.state is _instance.InstanceState.READY:
+                row.draining_since = last_heartbeat_at
             self._table.replace(row, instance)
         if row.is_live is not was_live:
             self._expect(row)
--- a/foxtailworks/discovery/tests/test_registry.py
+++ b/foxtailworks/discovery/tests/test_registry.py
@@ -54,6 +54,52 @@
     assert states == {100: making.GONE, 200: making.READY}
 
 
+def restarted(drain_s=3.0, **changes):
+    """Return a registry in which ``i-1`` has drained and started again."""
+    made = discovery.Registry(1, LEASE_S, drain_s)
+    made.announce(making.instance(born=100), 0.0)
+    made.announce(
+        making.instance(born=100, sequence=2, state=making.DRAINING), 1.0
+    )
+    made.announce(making.instance(born=200, **changes), 5.0)
+    return made
+
+
+def test_a_withdrawal_that_was_held_up_does_not_end_the_next_start():
+    # Guards against the end of a live instance, whose flows are then reset.
+    made = restarted()
+    assert not made.withdraw(discovery.InstanceId("i-1"), 5.5)
+    made.announce(making.instance(born=200, sequence=2), 6.0)
+    assert live_states(made)["i-1", 200] is making.READY
+
+
+def test_a_withdrawal_that_was_held_up_does_not_end_a_draining_start():
+    # Guards against the end of an instance that still has time to drain.
+    made = restarted()
+    draining = making.instance(born=200, sequence=2, state=making.DRAINING)
+    made.announce(draining, 6.0)
+    assert not made.withdraw(discovery.InstanceId("i-1"), 8.9)
+    assert live_states(made)["i-1", 200] is making.DRAINING
+    assert made.withdraw(discovery.InstanceId("i-1"), 9.0)
+    assert live_states(made)["i-1", 200] is making.GONE
+
+
+def test_a_start_that_was_draining_when_it_became_known_is_withdrawn():
+    # Guards against a withdrawal lost since the drain began before a restart
+    # of the coordinator.
+    made = restarted(state=making.DRAINING)
+    assert made.withdraw(discovery.InstanceId("i-1"), 5.1)
+    assert live_states(made)["i-1", 200] is making.GONE
+
+
+def test_the_only_start_of_an_id_is_withdrawn_in_any_state():
+    # Guards against flows to an instance whose drain wasn't heard of.
+    made = make_registry()
+    made.announce(making.instance(), 0.0)
+    assert made.withdraw(discovery.InstanceId("i-1"), 0.1)
+    assert set(live_states(made).values()) == {making.GONE}
+
+
 def test_a_late_heartbeat_of_a_former_owner_of_the_address_is_ignored():
     made = make_registry()
     made.announce(making.instance("i-2", born=200), 0.0)
