Let heartbeats for services that nobody uses affect no other instance

Cause: the registry marks earlier starts at the address, or with the id, of a new instance as gone, and didn't check whether the service of the new one is in use. With the whole identity of an upstream such a heartbeat replaced its service.

With the check taken out, 15 of the tests of admission fail, the test of three coordinators of which one restarts and one loses its disk, and the one of the control interface.

Why it works: a heartbeat of a new instance counts once the newest committed document names its service. Until then it is set aside, direct or relayed: not listed, relayed or told to hosts. An instance keeps its service for its lifetime. Nothing changes in messages between processes.

Changed tests: the simulated coordinators name all services unless told otherwise, since most tests put documents that name none; the table of the recovery model names the service of its instances.

Messages of the registry moved to a module of their own, for its size.

--- a/foxtailworks/coordinator/_edge_hosts.py
+++ b/foxtailworks/coordinator/_edge_hosts.py
@@ -69,6 +69,7 @@
         self._followers = polling.Followers()
         self._hosts = _host_count.HostCount()
         self._tables = steering.TableEncoder()
+        self._services: frozenset[ids.ServiceId] = frozenset()
         self._large = polling.LargeAnswers()
         self._encode = encode
         self._clock = clock
@@ -138,6 +139,13 @@
         covering = self._covering(key, self._encoded_state)
         return covering is not None or self._reusable.has(key)
 
+    def names_service(
+        self, service: ids.ServiceId, committed: revisions.State
+    ) -> bool:
+        """Return whether the committed document names a service."""
+        self._update_routes(committed.document)
+        return service in self._services
+
     def is_follower(self, address: ids.Address) -> bool:
         """Return whether a host follows this coordinator."""
         return address in self._followers
@@ -360,7 +368,9 @@
     def _update_routes(self, document: revisions.StoredDocument) -> None:
         """Read the routes of a committed document if it is a newer one."""
         if document.revision > self._tables.revision:
-            self._tables.put(self._read_table(document.text()))
+            table = self._read_table(document.text())
+            self._tables.put(table)
+            self._services = table.named_services()
 
     def _evacuation(
         self, committed: revisions.State, now: float
--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -66,7 +66,7 @@
         now = clock()
         self._session = rng.getrandbits(62)
         self.registry = discovery.Registry(
-            self._session, cfg.lease_s, cfg.drain_s
+            self._session, cfg.lease_s, cfg.drain_s, self._names_service
         )
         self._peers = _peers.Peers(cfg.listen_address, cfg.seeds, now)
         self._committed = _committed.Committed()
@@ -322,17 +322,16 @@
         """
         return self.node is not None and self.node.replica.leader is not None
 
-    def _notify_edge_hosts(self, now: float) -> None:
-        """Notify the following hosts of changes if a notice is due."""
-        notice = self._edge_hosts.notice(self._committed_state(), now)
-        self._send_to_all(*notice)
-
     def _committed_state(self) -> revisions.State:
         """Return the newest state that is known to be committed."""
         if self.documents is None:
             return self._committed.state
         return self._committed.update(self.documents.state, self._clock())
 
+    def _names_service(self, service: ids.ServiceId) -> bool:
+        """Return whether the committed document names a service."""
+        return self._edge_hosts.names_service(service, self._committed_state())
+
     # Periodic work.
 
     def on_tick(self, now: float) -> None:
@@ -350,14 +349,15 @@
             self.node.on_tick(now)
         _instance_log.log(self.registry.take_unlogged())
         self._announce_presence(now)
-        self._relay_heartbeats(now)
+        for msg, addresses in self._relay.take_due(now):
+            self._send_to_all(msg, addresses)
         if self.node is not None:
             self._group.on_tick(self.node, now)
         self.process_events()
         self._answering.on_tick(now)
-        self._notify_edge_hosts(now)
-        self._send_loads(now)
         state = self._committed_state()
+        self._send_to_all(*self._edge_hosts.notice(state, now))
+        self._send_loads(now)
         self._hints.save_if_due(
             self.registry,
             state,
@@ -373,11 +373,6 @@
         for msg, address in self._announcer.take_due(self.node, now):
             self._send(msg, address)
 
-    def _relay_heartbeats(self, now: float) -> None:
-        """Send what the other coordinators are to learn of heartbeats."""
-        for msg, addresses in self._relay.take_due(now):
-            self._send_to_all(msg, addresses)
-
     def on_heartbeat_message(
         self, msg: _relay.Received, src: ids.Address
     ) -> None:
--- a/foxtailworks/coordinator/tests/linked.py
+++ b/foxtailworks/coordinator/tests/linked.py
@@ -311,6 +311,7 @@
                 for number in range(self.routes)
             ),
             15_000,
+            frozenset({making.instance().service}),
         )
 
     def put(self, revision):
--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -7,6 +7,7 @@
 
 from foxtailworks import coordinator
 from foxtailworks.coordinator import _opened
+from foxtailworks.discovery.tests import making
 from foxtailworks import edge
 from foxtailworks import ids
 from foxtailworks import journal
@@ -37,13 +38,14 @@
 
 
 def read_table(text):
-    """Return a table with the revision at the end of the document.
+    """Return a table of one service, with the revision at the text's end.
 
     Revision 1 for the documents of other tests, which end otherwise.
     """
     last = text.split()[-1]
     revision = int(last) if last.isdigit() else 1
-    return steering.RouteTable(revision, (), 15_000)
+    services = frozenset({making.instance().service})
+    return steering.RouteTable(revision, (), 15_000, services)
 
 
 @dataclasses.dataclass
@@ -75,7 +77,11 @@
 
 
 class World:
-    """All simulated hosts, the network between them, and the clock."""
+    """All simulated hosts, the network between them, and the clock.
+
+    :param names_all_services: whether instances count although no document
+        names their service
+    """
 
     def __init__(
         self,
@@ -85,8 +91,10 @@
         folder="absent",
         lease_s=3.0,
         shares_load=False,
+        names_all_services=True,
     ):
         self.shares_load = shares_load
+        self.names_all_services = names_all_services
         self.rng = random.Random(seed)
         self.now = 0.0
         self.loss_rate = 0.0
@@ -131,6 +139,9 @@
             random.Random(self.rng.random()),
             lambda: host.files,
         )
+        if self.names_all_services:
+            admission = host.program.registry.admission
+            admission.names_service = lambda service: True
         host.program.attach(FakeEndpoint(self, address(number)))
         host.is_frozen = host.is_first_start = False
 
--- a/foxtailworks/discovery/__init__.py
+++ b/foxtailworks/discovery/__init__.py
@@ -18,13 +18,13 @@
 from foxtailworks.discovery._instance import Instance
 from foxtailworks.discovery._instance import InstanceId
 from foxtailworks.discovery._instance import InstanceState
-from foxtailworks.discovery._registry import Changes
-from foxtailworks.discovery._registry import HeardInstance
+from foxtailworks.discovery._messages import Changes
+from foxtailworks.discovery._messages import HeardInstance
+from foxtailworks.discovery._messages import ListedInstance
+from foxtailworks.discovery._messages import RelayedHeartbeat
+from foxtailworks.discovery._messages import Unshared
 from foxtailworks.discovery._registry import LIST_INTERVAL_S
-from foxtailworks.discovery._registry import ListedInstance
 from foxtailworks.discovery._registry import Registry
-from foxtailworks.discovery._registry import RelayedHeartbeat
-from foxtailworks.discovery._registry import Unshared
 from foxtailworks.discovery._roster import KnownInstance
 from foxtailworks.discovery._roster import Roster
 
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -1,10 +1,11 @@
 """Registry of instances and their leases in one coordinator."""
 
 from collections import abc
-import dataclasses
 import itertools
 
+from foxtailworks.discovery import _admission
 from foxtailworks.discovery import _instance
+from foxtailworks.discovery import _messages
 from foxtailworks.discovery import _table
 
 TOMBSTONE_S = 60.0
@@ -34,64 +35,6 @@
 # A sum of tokens doesn't depend on their order and is updated with each row.
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayedHeartbeat:
-    """A heartbeat that one coordinator relays to the others."""
-
-    instance: _instance.Instance
-    """Content of the heartbeat."""
-    age_ms: int
-    """Time since its receipt; an age, since the receivers' clocks differ."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unshared:
-    """Heartbeats received since the last relay."""
-
-    changes: tuple[RelayedHeartbeat, ...]
-    """Those that lists don't replace: of changes, of instances that are cold
-    or have gone, and those that came late."""
-    others: tuple[RelayedHeartbeat, ...]
-    """Those that lists of tokens replace."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HeardInstance:
-    """An instance that sent its last heartbeat a short time ago."""
-
-    token: _instance.ContentToken
-    """Token of its content."""
-    age_ms: int
-    """Time since the heartbeat."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListedInstance:
-    """An instance in a coordinator's registry."""
-
-    instance: _instance.Instance
-    """Latest state of the instance."""
-    is_live: bool
-    """Whether its lease hasn't expired."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
-    """Instances of a registry that changed since one of its versions."""
-
-    session: int
-    """Session of the registry; its versions start anew in each session."""
-    since: int
-    """Version that the receiver must have at least; 0 for a full copy."""
-    version: int
-    """Version that the receiver has after applying the changes."""
-    listed: tuple[ListedInstance, ...]
-    """Instances that changed after ``since``."""
-    digest: int = 0
-    """Digest of all live instances, equal in registries that have the same;
-    0 if it isn't known."""
-
-
 class Registry:
     """Records heartbeats of instances and expires their leases.
 
@@ -100,18 +43,26 @@
         longer live
     :param drain_s: shortest time from the announcement of an instance that it
         drains to its withdrawal
+    :param names_service: returns whether a service is in use; instances of
+        others don't count until it is
     """
 
     def __init__(
-        self, session: int, lease_s: float, drain_s: float = 0.0
+        self,
+        session: int,
+        lease_s: float,
+        drain_s: float = 0.0,
+        names_service: _admission.NamesService = lambda service: True,
     ) -> None:
+        self.admission = _admission.Admission(names_service, lease_s)
+        """Decides which heartbeats count."""
         self._session = session
         self._lease_s = lease_s
         self._drain_s = drain_s
         self._table = _table.Table()
         self._version = 0
         self._digest = 0
-        self._unlogged: list[ListedInstance] = []
+        self._unlogged: list[_messages.ListedInstance] = []
         self._unshared: dict[_table.Key, tuple[_instance.Instance, float]] = {}
         self._relays_left: dict[_table.Key, int] = {}
         self._next_due_at = float("inf")
@@ -140,10 +91,11 @@
         for item in instances:
             self._apply(item, last_heartbeat_at, now)
 
-    def listed(self) -> abc.Iterator[ListedInstance]:
+    def listed(self) -> abc.Iterator[_messages.ListedInstance]:
         """Yield every instance, including those that have gone."""
         return (
-            ListedInstance(r.instance, r.is_live) for r in self._table.rows()
+            _messages.ListedInstance(r.instance, r.is_live)
+            for r in self._table.rows()
         )
 
     def announce(self, instance: _instance.Instance, now: float) -> bool:
@@ -151,19 +103,27 @@
 
         :returns: false when the table is full
         """
+        return self._receive(instance, now, now)
+
+    def _receive(
+        self, instance: _instance.Instance, at: float, now: float
+    ) -> bool:
+        """Record a heartbeat that was received at ``at``; have it relayed."""
         row = self._table.get(instance.key)
         if row is None and len(self._table) >= MAX_INSTANCES:
             return False
+        if not self.admission.admits(instance, row, at):
+            return True
         renewed_at = row.last_heartbeat_at if row else float("-inf")
         before = self._version
-        self._apply(instance, now, now)
+        self._apply(instance, at, now)
         row = self._table.get(instance.key)
         if row is not None:
-            row.heard_at = now
-            self._unshared[instance.key] = (row.instance, now)
+            row.heard_at = at
+            self._unshared[instance.key] = (row.instance, at)
             if self._version != before:
                 self._relays_left[instance.key] = 1 + REPEATED_RELAYS
-            elif self._needs_relay(row, now - renewed_at):
+            elif self._needs_relay(row, at - renewed_at):
                 self._relays_left.setdefault(instance.key, 1)
         return True
 
@@ -206,37 +166,41 @@
         )
 
     def merge(
-        self, heartbeats: abc.Iterable[RelayedHeartbeat], now: float
+        self, heartbeats: abc.Iterable[_messages.RelayedHeartbeat], now: float
     ) -> None:
         """Record heartbeats relayed by another coordinator."""
         for item in heartbeats:
-            if len(self._table) < MAX_INSTANCES:
-                self._apply(item.instance, now - item.age_ms / _MS_PER_S, now)
+            at = now - item.age_ms / _MS_PER_S
+            row = self._table.get(item.instance.key)
+            if len(self._table) >= MAX_INSTANCES:
+                continue
+            if self.admission.admits(item.instance, row, at):
+                self._apply(item.instance, at, now)
 
-    def take_unlogged(self) -> list[ListedInstance]:
+    def take_unlogged(self) -> list[_messages.ListedInstance]:
         """Return the changes since the last call, for logs."""
         unlogged, self._unlogged = self._unlogged, []
         return unlogged
 
-    def take_unshared(self, now: float) -> Unshared:
+    def take_unshared(self, now: float) -> _messages.Unshared:
         """Return the heartbeats to relay to the other coordinators."""
-        changes: list[RelayedHeartbeat] = []
-        others: list[RelayedHeartbeat] = []
+        changes: list[_messages.RelayedHeartbeat] = []
+        others: list[_messages.RelayedHeartbeat] = []
         again = {}
         for key, (instance, at) in self._unshared.items():
-            heartbeat = RelayedHeartbeat(instance, _age_ms(at, now))
+            heartbeat = _messages.RelayedHeartbeat(instance, _age_ms(at, now))
             left = self._relays_left.pop(key, 0)
             (changes if left else others).append(heartbeat)
             if left > 1:
                 self._relays_left[key] = left - 1
                 again[key] = (instance, at)
         self._unshared = again
-        return Unshared(tuple(changes), tuple(others))
+        return _messages.Unshared(tuple(changes), tuple(others))
 
-    def heard(self, now: float) -> tuple[HeardInstance, ...]:
+    def heard(self, now: float) -> tuple[_messages.HeardInstance, ...]:
         """Return the instances that sent heartbeats here a short time ago."""
         return tuple(
-            HeardInstance(
+            _messages.HeardInstance(
                 row.instance.content_token(), _age_ms(row.heard_at, now)
             )
             for row in self._table.rows()
@@ -245,7 +209,7 @@
         )
 
     def renew(
-        self, heard: abc.Iterable[HeardInstance], now: float
+        self, heard: abc.Iterable[_messages.HeardInstance], now: float
     ) -> tuple[_instance.ContentToken, ...]:
         """Extend the leases of instances that another coordinator heard.
 
@@ -263,17 +227,24 @@
 
     def with_tokens(
         self, tokens: abc.Iterable[_instance.ContentToken], now: float
-    ) -> tuple[RelayedHeartbeat, ...]:
+    ) -> tuple[_messages.RelayedHeartbeat, ...]:
         """Return the instances that have the given tokens."""
         rows = (self._table.with_token(token) for token in tokens)
-        return tuple(_relayed(row, now) for row in rows if row is not None)
+        return tuple(_as_relayed(row, now) for row in rows if row is not None)
 
-    def all_heartbeats(self, now: float) -> tuple[RelayedHeartbeat, ...]:
+    def all_heartbeats(
+        self, now: float
+    ) -> tuple[_messages.RelayedHeartbeat, ...]:
         """Return all instances, for a coordinator that has just started."""
-        return tuple(_relayed(row, now) for row in self._table.rows())
+        return tuple(_as_relayed(row, now) for row in self._table.rows())
 
     def on_tick(self, now: float) -> None:
-        """Expire leases and remove instances that expired long ago."""
+        """Expire leases and remove instances that expired long ago.
+
+        Instances count from here on whose service has come into use.
+        """
+        for instance, at in self.admission.take_admitted(now):
+            self._receive(instance, at, now)
         if now <= self._next_due_at:
             return
         self._next_due_at = float("inf")
@@ -310,7 +281,7 @@
 
     def changes(
         self, session: int, since: int, told: int | None = None
-    ) -> Changes:
+    ) -> _messages.Changes:
         """Return the changes since a version of a session.
 
         :param told: version that the receiver has afterwards; later changes
@@ -321,10 +292,10 @@
             since = 0
         changed = [*self._table.changed_since(since)] if since < told else []
         listed = tuple(
-            ListedInstance(row.instance, row.is_live)
+            _messages.ListedInstance(row.instance, row.is_live)
             for row in reversed(changed)
         )
-        return Changes(
+        return _messages.Changes(
             self._session, since, max(since, told), listed, self._digest
         )
 
@@ -401,7 +372,9 @@
         self._digest = (self._digest + part - row.digest_part) % _DIGESTS
         row.digest_part = part
         if len(self._unlogged) < MAX_UNLOGGED:
-            self._unlogged.append(ListedInstance(row.instance, row.is_live))
+            self._unlogged.append(
+                _messages.ListedInstance(row.instance, row.is_live)
+            )
 
 
 def _age_ms(at: float, now: float) -> int:
@@ -409,6 +382,8 @@
     return max(0, round((now - at) * _MS_PER_S))
 
 
-def _relayed(row: _table.Row, now: float) -> RelayedHeartbeat:
+def _as_relayed(row: _table.Row, now: float) -> _messages.RelayedHeartbeat:
     """Return the last heartbeat of a row's instance, as it is relayed."""
-    return RelayedHeartbeat(row.instance, _age_ms(row.last_heartbeat_at, now))
+    return _messages.RelayedHeartbeat(
+        row.instance, _age_ms(row.last_heartbeat_at, now)
+    )
--- a/foxtailworks/discovery/_roster.py
+++ b/foxtailworks/discovery/_roster.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from foxtailworks.discovery import _instance
-from foxtailworks.discovery import _registry
+from foxtailworks.discovery import _messages
 from foxtailworks.discovery import _table
 from foxtailworks import ids
 
@@ -81,7 +81,7 @@
         )
 
     def merge(
-        self, peer: ids.Address, changes: _registry.Changes, now: float
+        self, peer: ids.Address, changes: _messages.Changes, now: float
     ) -> bool:
         """Apply the changes that a coordinator answered with.
 
@@ -199,7 +199,7 @@
         return self._known.values()
 
     def _apply(
-        self, source: _Source, item: _registry.ListedInstance, now: float
+        self, source: _Source, item: _messages.ListedInstance, now: float
     ) -> None:
         """Apply one instance that a coordinator listed."""
         key = item.instance.key
--- a/foxtailworks/steering/_routes.py
+++ b/foxtailworks/steering/_routes.py
@@ -69,6 +69,10 @@
     """Routes, one for each destination."""
     idle_timeout_ms: int
     """Time without a packet after which a flow may be discarded."""
+    services: frozenset[ids.ServiceId] = dataclasses.field(
+        default=frozenset(), compare=False
+    )
+    """Services that the document names; not sent to hosts."""
 
     def __post_init__(self) -> None:
         """Reject two routes for one destination."""
@@ -77,3 +81,9 @@
                 errors.Code.CONTRACT_INVALID,
                 "two routes share one destination",
             )
+
+    def named_services(self) -> frozenset[ids.ServiceId]:
+        """Return the services of the document and of its routes."""
+        return self.services | {
+            share.service for route in self.routes for share in route.shares
+        }
