--- a/foxtailworks/upkeep/__init__.py
+++ b/foxtailworks/upkeep/__init__.py
@@ -1,8 +1,8 @@
 """Automatic membership changes of a group of replicas.
 
 The leader computes a few times a second which single change is due: a new
-replica becomes a learner, then a voter; a member whose disk was lost, or that
-is unresponsive while a successor is ready, is removed.
+replica becomes a learner, then a voter; a member whose disk was lost is
+removed, and one that is unresponsive or leaving if it has a successor.
 
 Example::
 
