Know earlier starts of an instance in any order of arrival

Cause: whether earlier starts of an id are known was looked up among the rows, and a start that is superseded gets no row.

Evidence: the new test of the registry fails before. So does the one of an instance that is withdrawn while its heartbeat is set aside: it counted once its service came into use.

Why it works: the row of a start notes each earlier start that is heard of; a withdrawal drops what is set aside under its id.

--- a/foxtailworks/discovery/_admission.py
+++ b/foxtailworks/discovery/_admission.py
@@ -53,6 +53,12 @@
         self._set_aside[instance.key] = instance, at
         return False
 
+    def forget(self, name: _instance.InstanceId) -> None:
+        """Drop the heartbeats of an id that are set aside."""
+        for key in tuple(self._set_aside):
+            if key[0] == name:
+                del self._set_aside[key]
+
     def take_admitted(
         self, now: float
     ) -> tuple[tuple[_instance.Instance, float], ...]:
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -149,10 +149,11 @@
 
         :returns: false if it is one of an earlier incarnation
         """
+        self.admission.forget(name)
         row = self._table.newest(name)
         if row is None:
             return True
-        if self._table.has_earlier(row) and not self._may_withdraw(row, now):
+        if row.has_earlier and not self._may_withdraw(row, now):
             return False
         gone = row.instance.with_state(_instance.InstanceState.GONE)
         self.announce(gone, now)
@@ -318,7 +319,7 @@
             self._table.add(row)
             self._expect(row)
             self._record_change(row)
-            self._end_predecessors(instance)
+            self._end_predecessors(row)
             return
         before, was_live = row.instance, row.is_live
         if last_heartbeat_at >= row.last_heartbeat_at:
@@ -340,13 +341,17 @@
         return self._lease_s + row.grace_s
 
     def _is_superseded(self, instance: _instance.Instance, now: float) -> bool:
-        """Return whether a later start has the same id or address."""
+        """Return whether a later start has the same id or address.
+
+        Later starts of the id are marked as such.
+        """
         if not self._table.is_related_to_others(instance):
             return False
         for row in self._table.related(instance):
             other = row.instance
             if other.incarnation <= instance.incarnation:
                 continue
+            row.has_earlier |= other.instance == instance.instance
             serves = row.is_live and (
                 other.state is not _instance.InstanceState.GONE
             )
@@ -354,15 +359,18 @@
                 return True
         return False
 
-    def _end_predecessors(self, instance: _instance.Instance) -> None:
+    def _end_predecessors(self, row: _table.Row) -> None:
         """Mark earlier starts with the same id or address as gone."""
-        for row in self._table.related(instance):
-            other = row.instance
-            ended = other.state is _instance.InstanceState.GONE
-            if not ended and other.incarnation < instance.incarnation:
+        instance = row.instance
+        for earlier in self._table.related(instance):
+            other = earlier.instance
+            if other.incarnation >= instance.incarnation:
+                continue
+            row.has_earlier |= other.instance == instance.instance
+            if other.state is not _instance.InstanceState.GONE:
                 gone = other.with_state(_instance.InstanceState.GONE)
-                self._table.replace(row, gone)
-                self._record_change(row)
+                self._table.replace(earlier, gone)
+                self._record_change(earlier)
 
     def _record_change(self, row: _table.Row) -> None:
         """Assign a new version to a changed row and keep it for the log."""
--- a/foxtailworks/discovery/_table.py
+++ b/foxtailworks/discovery/_table.py
@@ -31,6 +31,8 @@
     draining_since: float = float("-inf")
     """Time of the heartbeat by which the instance left the state ready; minus
     infinity if it was in another one from the start of this row."""
+    has_earlier: bool = False
+    """Whether earlier incarnations of the id are known."""
 
 
 class Table:
@@ -84,11 +86,6 @@
             return None
         return self._rows[max(keys, key=lambda key: key[1])]
 
-    def has_earlier(self, row: Row) -> bool:
-        """Return whether there are rows of earlier incarnations of an id."""
-        name, incarnation = row.instance.key
-        return any(key[1] < incarnation for key in self._by_name[name])
-
     def is_related_to_others(self, instance: _instance.Instance) -> bool:
         """Return whether other rows have the id or address of an instance."""
         names = self._by_name.get(instance.instance)
--- a/foxtailworks/discovery/tests/test_admission.py
+++ b/foxtailworks/discovery/tests/test_admission.py
@@ -102,6 +102,15 @@
     assert row.instance.service == DESK
 
 
+def test_an_instance_that_was_withdrawn_does_not_count_later(made):
+    # Guards against flows to an upstream that has left.
+    made.registry.announce(foreign(), 0.0)
+    assert made.registry.withdraw(foreign().instance, 0.1)
+    made.services.add(OTHER)
+    made.registry.on_tick(0.2)
+    assert not made.states()
+
+
 def test_an_expired_heartbeat_does_not_count_any_more(made):
     made.registry.announce(foreign(), 0.0)
     made.registry.on_tick(LEASE_S + 0.1)
--- a/foxtailworks/discovery/tests/test_registry.py
+++ b/foxtailworks/discovery/tests/test_registry.py
@@ -84,6 +84,17 @@
     assert live_states(made)["i-1", 200] is making.GONE
 
 
+def test_a_late_withdrawal_ends_no_start_that_was_heard_of_first():
+    # Guards against the same at a coordinator that lost its state, and that
+    # hears of the earlier start after the later one.
+    made = discovery.Registry(1, LEASE_S, 3.0)
+    made.announce(making.instance(born=200), 5.0)
+    gone = making.instance(born=100, sequence=2, state=making.GONE)
+    made.merge((discovery.RelayedHeartbeat(gone, 900),), 5.1)
+    assert not made.withdraw(discovery.InstanceId("i-1"), 5.5)
+    assert live_states(made) == {("i-1", 200): making.READY}
+
+
 def test_a_start_that_was_draining_when_it_became_known_is_withdrawn():
     # Guards against a withdrawal lost since the drain began before a restart
     # of the coordinator.
