Test moves, restarts and lost disks of coordinators in any order

A random series of single losses, each with the time that the users let pass before the next one; a document is acknowledged and read after each. One copy of catchUpS in the tests.

--- a/foxtailworks/coordinator/tests/test_machine.py
+++ b/foxtailworks/coordinator/tests/test_machine.py
@@ -15,9 +15,6 @@
 from foxtailworks.coordinator.tests import world
 
 HOSTS = (1, 2, 3)
-CATCH_UP_S = 4.0
-"""Time after which the successor of a lost disk has caught up, so that the
-next disk may be lost."""
 numbers = st.sampled_from(HOSTS)
 
 
@@ -111,7 +108,7 @@
     def lose_disk(self, number):
         self.world.wipe(number)
         self.world.start(number)
-        self.world.run(CATCH_UP_S)
+        self.world.run(promises.CATCH_UP_S)
 
     def has_full_redundancy(self):
         return (
--- a/foxtailworks/coordinator/tests/test_promises.py
+++ b/foxtailworks/coordinator/tests/test_promises.py
@@ -156,6 +156,44 @@
     assert put(cluster, 9) is True and voter_count(cluster) == 3
 
 
+def move(cluster, old, new, is_planned):
+    """Replace a host by one at another address, which starts first."""
+    cluster.add(new, is_first_start=False)
+    cluster.run(CATCH_UP_S)
+    if is_planned:
+        cluster.leave(old)
+    else:
+        cluster.stop(old)
+        cluster.run(CATCH_UP_S)
+    del cluster.hosts[world.address(old)]
+
+
+@hypothesis.settings(derandomize=True, max_examples=30, deadline=None)
+@hypothesis.given(st.integers(0, 10_000))
+def test_hosts_are_moved_restarted_and_lose_disks_in_any_order(seed):
+    # Guards against a group that one loss at a time leaves without a majority.
+    cluster = start_cluster(seed=seed)
+    rng = cluster.rng
+    for revision in range(7, 15):
+        numbers = [world.number_of(host.program) for host in cluster.running()]
+        number = rng.choice(numbers)
+        kind = rng.choice(("move", "lose", "restart", "wipe"))
+        if kind in ("move", "lose"):
+            spare = min({*range(1, 10)} - {*numbers})
+            move(cluster, number, spare, is_planned=kind == "move")
+        elif kind == "restart":
+            cluster.leave(number)
+            cluster.start(number)
+            cluster.run(CATCH_UP_S)
+        else:
+            cluster.wipe(number)
+            cluster.run(1.0)
+            cluster.start(number)
+            cluster.run(CATCH_UP_S)
+        assert any(put(cluster, revision) is True for _ in range(3))
+        assert read(cluster).revision == revision
+
+
 def test_a_voter_that_restarts_as_planned_is_a_voter_again():
     # Guards against a group that stays smaller after a series of restarts.
     cluster = start_cluster(4)
