Keep flows that the next start of an upstream accepted

Cause: until the first heartbeat of the new start, hosts place SYNs on the one before, and the new process, at the same id and address, accepts them. The token names the earlier start; once that counts as gone, hosts reset packets with it, whoever holds the flow.

Why it works: packets whose start has gone go to the latest start at the same id, address and service, with its token. The upstream resets what it doesn't hold itself. A start elsewhere or of another service gets none of them, and one that has gone too ends the flow as before. Nothing changes in what processes say to one another.

--- a/foxtailworks/discovery/_instance.py
+++ b/foxtailworks/discovery/_instance.py
@@ -75,6 +75,10 @@
             and self.key == other.key
         )
 
+    def is_at_same_place(self, other: "Instance") -> bool:
+        """Return whether the other serves the same service at its address."""
+        return (self.address, self.service) == (other.address, other.service)
+
     def content_token(self) -> ContentToken:
         """Return the hash of all but the counters, equal on all hosts.
 
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -181,14 +181,15 @@
         route = self._routes.get(packet.destination)
         if route is None:
             return _decisions.Reset(_Reason.NO_ROUTE)
-        known = self._tokens.find(packet.token)
-        if known is None:
+        found = self._tokens.resolve(packet.token)
+        if found is None:
             self.has_unknown_tokens = True
             return _decisions.Drop(_Reason.UNKNOWN_TOKEN)
+        known, token = found
         if known.instance.state is discovery.InstanceState.GONE:
             return self._decide_gone(known, now)
         self._track(packet, known.instance.key, route, now)
-        return _decisions.Forward(known.instance, packet.token)
+        return _decisions.Forward(known.instance, token)
 
     def on_tick(self, now: float) -> abc.Iterator[DuePacket]:
         """Expire flows; yield the SYNs to place now."""
--- a/foxtailworks/steering/tests/test_one_upstream.py
+++ b/foxtailworks/steering/tests/test_one_upstream.py
@@ -2,7 +2,8 @@
 
 Callers, several hosts and upstreams in random runs: SYNs are copied, placed
 on several upstreams and answered late or twice, ports are used again, and
-upstreams restart under their id.
+upstreams restart under their id.  The next start of an upstream accepts SYNs
+before its first heartbeat, and resets the flows of the one before.
 """
 
 import random
@@ -13,6 +14,7 @@
 from foxtailworks.discovery.tests import making
 from foxtailworks import ids
 from foxtailworks import steering
+from foxtailworks.steering import _tokens
 from foxtailworks.steering.tests import tables
 
 PEER = ids.Address("10.0.0.1", 1)
@@ -31,6 +33,7 @@
         self.now = 0.0
         self.registry = discovery.Registry(1, 600.0)
         self.births = [100] * UPSTREAMS
+        # Starts of the processes that run, which hosts learn of later.
         for number in range(UPSTREAMS):
             self.announce(number)
         self.rosters = [discovery.Roster() for _ in range(HOSTS)]
@@ -59,7 +62,16 @@
     def restart(self, number):
         """Start an upstream again; its flows are gone with the process."""
         self.births[number] += 50
-        self.announce(number)
+
+    def process_at(self, instance):
+        """Return the process that gets what is sent to an instance."""
+        number = int(instance.instance.partition("-")[2])
+        assert instance.address.ip == f"10.0.1.{number + 1}"
+        return number, self.births[number]
+
+    def is_running(self, process):
+        number, born = process
+        return self.births[number] == born
 
     def flow(self, port):
         return steering.FlowKey(port.to_bytes(12, "big"))
@@ -73,7 +85,8 @@
 
     def deliver_syn(self, port, decision):
         if isinstance(decision, steering.Forward):
-            self.answers[port].append((decision.instance.key, decision.token))
+            process = self.process_at(decision.instance)
+            self.answers[port].append((process, decision.token))
 
     def open(self, port):
         """Accept any of the answers; the flow opens at its sender."""
@@ -84,11 +97,17 @@
         if port in self.chosen:
             self.forward(port, *self.chosen[port])
 
-    def forward(self, port, upstream, token):
+    def forward(self, port, process, token):
+        """Send a packet; only the upstream of its flow may get it.
+
+        The flow isn't reset by a host while its process runs.
+        """
         packet = steering.Packet(self.flow(port), DESTINATION, token, False)
         found = self.rng.choice(self.hosts).forward(packet, self.now)
         if isinstance(found, steering.Forward):
-            assert found.instance.key == upstream
+            assert self.process_at(found.instance)[0] == process[0]
+        if self.is_running(process):
+            assert not isinstance(found, steering.Reset)
 
     def close(self, port):
         """Close a flow; late packets of it come when its port is reused."""
@@ -107,6 +126,8 @@
             self.forward(*self.rng.choice(self.late))
         if self.rng.random() < 0.05:
             self.restart(self.rng.randrange(UPSTREAMS))
+        if self.rng.random() < 0.2:
+            self.announce(self.rng.randrange(UPSTREAMS))
         index = self.rng.randrange(HOSTS)
         if self.rng.random() < 0.3:
             self.sync(index)
@@ -141,3 +162,16 @@
     with pytest.raises(AssertionError):
         for seed in range(40):
             play(seed)
+
+
+# The hosts reset flows that the next start of an upstream had accepted before
+# its first heartbeat (review/5).
+def test_taking_a_flow_for_one_of_the_earlier_start_is_found(monkeypatch):
+    def end_with_earlier_start(index, token):
+        known = index.find(token)
+        return known and (known, token)
+
+    monkeypatch.setattr(_tokens.TokenIndex, "resolve", end_with_earlier_start)
+    with pytest.raises(AssertionError):
+        for seed in range(40):
+            play(seed)
