--- a/foxtailworks/coordinator/tests/world.py
+++ b/foxtailworks/coordinator/tests/world.py
@@ -137,7 +137,7 @@
             read_table,
             lambda: self.now,
             random.Random(self.rng.random()),
-            lambda: host.files,
+            lambda: self.open_files(host),
         )
         if self.names_all_services:
             admission = host.program.registry.admission
@@ -145,6 +145,10 @@
         host.program.attach(FakeEndpoint(self, address(number)))
         host.is_frozen = host.is_first_start = False
 
+    def open_files(self, host):
+        """Return the files of a host's journal."""
+        return host.files
+
     def stop(self, number):
         host = self.hosts[address(number)]
         if host.program is not None and host.program.documents is not None:
--- a/foxtailworks/journal/_files.py
+++ b/foxtailworks/journal/_files.py
@@ -46,6 +46,23 @@
         """Close all open files."""
 
 
+class Closable(typing.Protocol):
+    """An object that holds a resource until it is closed."""
+
+    def close(self) -> None:
+        """Release the resource."""
+
+
+@contextlib.contextmanager
+def closed_on_error(owner: Closable) -> typing.Iterator[None]:
+    """Close an object if the block that takes it over fails."""
+    try:
+        yield
+    except BaseException:
+        owner.close()
+        raise
+
+
 class DiskFiles:
     """A folder on the disk, locked for one process.
 
@@ -60,7 +77,7 @@
         self._open: dict[str, int] = {}
         try:
             folder.mkdir(parents=True, exist_ok=True)
-            self._lock = _lock(folder / _LOCK_NAME)
+            self._lock: int | None = _lock(folder / _LOCK_NAME)
         except OSError as exc:
             raise errors.FoxtailError(
                 errors.Code.JOURNAL_UNWRITABLE,
@@ -126,8 +143,9 @@
         for fd in self._open.values():
             os.close(fd)
         self._open.clear()
-        with contextlib.suppress(OSError):
-            os.close(self._lock)
+        lock, self._lock = self._lock, None
+        if lock is not None:
+            os.close(lock)
 
     def _descriptor(self, name: str) -> int:
         """Return a descriptor for appending to a file; open it if needed."""
--- a/foxtailworks/journal/_journal.py
+++ b/foxtailworks/journal/_journal.py
@@ -24,7 +24,8 @@
 
     :param files: the folder, which the journal owns from now on
     :param new_keeper: creates an identity for an empty disk
-    :raises FoxtailError: ``JOURNAL_DAMAGED``, ``JOURNAL_UNWRITABLE``
+    :raises FoxtailError: ``JOURNAL_DAMAGED``, ``JOURNAL_UNWRITABLE``; the
+        folder is closed then and can be opened again
     """
 
     def __init__(
@@ -38,7 +39,7 @@
         self._generation = 0
         self._log_bytes = 0
         self._snapshot_bytes = 0
-        with self._refuse_after_failure():
+        with _files.closed_on_error(files), self._refuse_after_failure():
             name = self._newest_log()
             if name is None:
                 self._create(new_keeper())
--- a/foxtailworks/replicated/_node.py
+++ b/foxtailworks/replicated/_node.py
@@ -98,7 +98,8 @@
     again it calls :meth:`flush`: all writes since the last flush share one
     sync.
 
-    :param disk: journal, which the node owns from now on
+    :param disk: journal, which the node owns from now on; closed if its
+        content can't be used
     :param make_machine: creates the state machine, also from a snapshot
     :param now: monotonic seconds, as in all methods
     :param compact_entries: applied entries after which a snapshot is taken
@@ -123,11 +124,12 @@
         self._events: list[Event] = []
         self._is_stopped = False
         restored = disk.restored
-        if restored.snapshot is not None:
-            self._load(restored.snapshot)
-        self.replica = agreement.Replica(
-            disk.keeper, restored, rng, now, timing
-        )
+        with journal.closed_on_error(disk):
+            if restored.snapshot is not None:
+                self._load(restored.snapshot)
+            self.replica = agreement.Replica(
+                disk.keeper, restored, rng, now, timing
+            )
 
     @property
     def needs_flush(self) -> bool:
