Reset no flow at the second placement of its SYN

Cause: a SYN without an answer is placed a second time. The service was drawn once to see whether there are upstreams, and once more to place it; if the second draw met the service without upstreams, the host sent a reset.

No real processes were run for this one.

Why it works: the second placement uses the upstreams that were found, and without any the host stays silent: the first upstream may have answered, and the caller sends its SYN again.

DuePacket moves to the other decisions, and the check of an answer to the SYN itself, to keep the module small.

--- a/foxtailworks/steering/__init__.py
+++ b/foxtailworks/steering/__init__.py
@@ -16,6 +16,7 @@
 from foxtailworks.steering._config import Config
 from foxtailworks.steering._decisions import Decision
 from foxtailworks.steering._decisions import Drop
+from foxtailworks.steering._decisions import DuePacket
 from foxtailworks.steering._decisions import Forward
 from foxtailworks.steering._decisions import Reason
 from foxtailworks.steering._decisions import Reset
@@ -35,7 +36,6 @@
 from foxtailworks.steering._routes import Route
 from foxtailworks.steering._routes import RouteTable
 from foxtailworks.steering._routes import Share
-from foxtailworks.steering._steering import DuePacket
 from foxtailworks.steering._steering import Steering
 from foxtailworks.steering._tables import TableDecoder
 from foxtailworks.steering._tables import TableEncoder
--- a/foxtailworks/steering/_decisions.py
+++ b/foxtailworks/steering/_decisions.py
@@ -53,6 +53,16 @@
 Decision = Forward | Reset | Drop
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DuePacket:
+    """A packet that had to wait, with the decision that was made on it."""
+
+    packet: bytes
+    """The packet as it was received."""
+    decision: Decision
+    """Decision to carry out now."""
+
+
 def may_be_forwarded_later(decision: Decision) -> bool:
     """Return whether a packet waits for routes or for its upstream."""
     return isinstance(decision, Drop) and decision.reason in (
--- a/foxtailworks/steering/_pending.py
+++ b/foxtailworks/steering/_pending.py
@@ -46,6 +46,12 @@
     placed_at: float
     """Time of the placement, monotonic seconds."""
 
+    def is_awaited_by(self, flow: _flows.Flow) -> bool:
+        """Return whether a flow still waits for the answer to this SYN."""
+        return flow.phase is _flows.Phase.OPENING and (
+            (flow.placed_at, flow.upstream) == (self.placed_at, self.upstream)
+        )
+
 
 class PendingSyns:
     """Holds SYNs until they can be placed or their answer is overdue."""
--- a/foxtailworks/steering/_steering.py
+++ b/foxtailworks/steering/_steering.py
@@ -1,7 +1,6 @@
 """Decisions on callers' packets, without sockets, files or a clock."""
 
 from collections import abc
-import dataclasses
 import functools
 import math
 import random
@@ -28,16 +27,6 @@
 _MS_PER_S = 1000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DuePacket:
-    """A packet that had to wait, with the decision that was made on it."""
-
-    packet: bytes
-    """The packet as it was received."""
-    decision: _decisions.Decision
-    """Decision to carry out now."""
-
-
 class Steering:
     """Decides on each packet of callers.
 
@@ -191,7 +180,7 @@
         self._track(packet, known.instance.key, route, now)
         return _decisions.Forward(known.instance, token)
 
-    def on_tick(self, now: float) -> abc.Iterator[DuePacket]:
+    def on_tick(self, now: float) -> abc.Iterator[_decisions.DuePacket]:
         """Expire flows; yield the SYNs to place now."""
         for key, flow in self._flows.expire(now):
             self.events.add_expired(key, flow, now)
@@ -199,7 +188,7 @@
         for placed in self._pending.take_unanswered(now):
             yield from self._place_elsewhere(placed, now)
 
-    def _release(self, now: float) -> abc.Iterator[DuePacket]:
+    def _release(self, now: float) -> abc.Iterator[_decisions.DuePacket]:
         """Pass on the packets that were held, as far as there is room."""
         if not self.revision:
             return
@@ -220,9 +209,13 @@
         for waiting in due:
             item = waiting.item
             if isinstance(item, _pending.Syn):
-                yield DuePacket(item.packet, self._open(item, waiting, now))
+                yield _decisions.DuePacket(
+                    item.packet, self._open(item, waiting, now)
+                )
             else:
-                yield DuePacket(item.packet, self._decide_packet(item, now))
+                yield _decisions.DuePacket(
+                    item.packet, self._decide_packet(item, now)
+                )
 
     def _move_known_packets(self, now: float) -> None:
         """Move held packets whose upstream is known to the backlog."""
@@ -263,7 +256,7 @@
 
     def _place_elsewhere(
         self, placed: _pending.PlacedSyn, now: float
-    ) -> abc.Iterator[DuePacket]:
+    ) -> abc.Iterator[_decisions.DuePacket]:
         """Place an unanswered SYN on another upstream.
 
         The caller accepts the first answer, so a SYN that reaches two
@@ -273,12 +266,7 @@
         """
         syn = placed.syn
         flow = self._flows.get(syn.flow)
-        if flow is None or flow.phase is not _flows.Phase.OPENING:
-            return
-        if (
-            flow.placed_at != placed.placed_at
-            or flow.upstream != placed.upstream
-        ):
+        if flow is None or not placed.is_awaited_by(flow):
             return
         if len(flow.tried) == 1:
             self.suspicions.on_unanswered(placed.upstream, now)
@@ -293,24 +281,34 @@
             or len(flow.tried) >= self._cfg.max_proactive_attempts
         ):
             return
-        if self._candidates.untried(flow, route, now):
-            decision = self._place(syn, route, now)
-            refusal = _decisions.Reset(_Reason.NO_UPSTREAM)
-            yield DuePacket(syn.packet, decision or refusal)
+        untried = self._candidates.untried(flow, route, now)
+        decision = self._place_on(untried, syn, now)
+        if decision is not None:
+            yield _decisions.DuePacket(syn.packet, decision)
 
     def _place(
         self, syn: _pending.Syn, route: _routes.Route, now: float
     ) -> _decisions.Forward | None:
-        """Place a SYN on the best upstream; return None if there is none.
+        """Place a SYN on an upstream of its route; None if there is none."""
+        flow = self._flows.find_unclosed(syn.flow)
+        candidates = self._candidates.untried(flow, route, now)
+        if not candidates:
+            candidates = self._candidates.usable(route, now)
+        return self._place_on(candidates, syn, now)
+
+    def _place_on(
+        self,
+        candidates: list[discovery.KnownInstance],
+        syn: _pending.Syn,
+        now: float,
+    ) -> _decisions.Forward | None:
+        """Place a SYN on the best of some upstreams; None without any.
 
         After an unanswered first attempt upstreams of the own zone are
         preferred: a partition between zones is the likeliest fault that
         affects many upstreams at once.
         """
         flow = self._flows.find_unclosed(syn.flow)
-        candidates = self._candidates.untried(flow, route, now)
-        if not candidates:
-            candidates = self._candidates.usable(route, now)
         is_retry = flow is not None
         chosen = self._chooser.choose(
             candidates, lambda item: self._penalty(item, is_retry, now), now
--- a/foxtailworks/steering/tests/test_steering.py
+++ b/foxtailworks/steering/tests/test_steering.py
@@ -1,5 +1,6 @@
 """Tests that a packet reaches the upstream of its flow, or none."""
 
+import dataclasses
 import random
 
 import pytest
@@ -330,3 +331,26 @@
             now + 0.01,
         )
         host.events.take()
+
+
+# The second placement of a SYN drew the service anew, and reset a flow that
+# had opened through another host if that service had no upstream.
+@pytest.mark.parametrize("seed", range(20))
+def test_a_second_placement_resets_no_flow(seed):
+    empty = ids.ServiceId("empty")
+    shares = (
+        steering.Share(steered.SERVICE, 1),
+        steering.Share(empty, 1),
+    )
+    route = dataclasses.replace(steered.make_route(), shares=shares)
+    fleet = steered.Fleet(
+        *(steered.make_instance(n) for n in range(1, 5)), seed=seed
+    )
+    host = fleet.hosts[0]
+    host.put_routes(steered.make_table(2, (route,)))
+    for number in range(20):
+        host.open(steered.make_syn(number), 0.0)
+    answer_s = steered.CONFIG.max_answer_timeout_s
+    for step in range(1, 4):
+        for due in host.on_tick(step * answer_s):
+            assert isinstance(due.decision, steering.Forward)
