--- a/foxtailworks/journal/_journal.py
+++ b/foxtailworks/journal/_journal.py
@@ -159,12 +159,18 @@
         return max(logs, default=None)
 
     def _load(self, name: str) -> None:
-        """Read log and snapshot; remove a torn tail and obsolete files."""
+        """Read log and snapshot; remove a torn tail and obsolete files.
+
+        What the process before this one wrote last may not be synced.
+        """
         data = self._files.read(name)
         scanned = _frames.scan(data, name)
         start = _require_start(scanned, name)
         if scanned.size < len(data):
             self._files.truncate(name, scanned.size)
+        else:
+            self._files.sync(name)
+        self._files.sync_folder()
         self._keeper = start.keeper
         self._generation = start.generation
         self._sequence = len(scanned.bodies)
--- a/foxtailworks/journal/tests/test_journal.py
+++ b/foxtailworks/journal/tests/test_journal.py
@@ -135,3 +135,46 @@
     assert (again.keeper, indexes(again)) == ("k1", [8, 9, 10, 11, 12])
     assert again.size_bytes == first.size_bytes
     again.close()
+
+
+class Killed(BaseException):
+    """End of the process in an operation on the disk."""
+
+
+def kill_in(files, operation, after):
+    """Write two entries and a snapshot; the process is killed meanwhile.
+
+    :param after: number of calls of the operation that succeed before
+    """
+    disk = open_journal(files)
+    disk.write([persist(1, 1, 1)])
+    real, left = getattr(files, operation), [None] * after
+
+    def run_or_end(*args):
+        if not left:
+            raise Killed
+        left.pop()
+        real(*args)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(files, operation, run_or_end)
+        with pytest.raises(Killed):
+            disk.write([persist(2, 2, 2), snapshot(3, 2, 1, 2)])
+
+
+# What a start read back without a sync counted as durable, so that the next
+# loss of power took what had been confirmed meanwhile.
+@pytest.mark.parametrize(
+    ("operation", "after"),
+    [("sync", 0), ("sync_folder", 0), ("sync_folder", 1), ("remove", 0)],
+)
+@pytest.mark.parametrize("seed", range(20))
+def test_what_was_read_back_after_a_kill_survives_a_loss_of_power(
+    operation, after, seed
+):
+    files = journal.MemoryFiles()
+    kill_in(files, operation, after)
+    read_back = open_journal(files).restored
+    assert read_back.entries[-1].index == 2
+    files.crash(random.Random(seed))
+    assert open_journal(files).restored == read_back
