End no later start of an instance by a late withdrawal while it drains

The time of the drain doesn't tell which of two it is of.

Evidence: the cases of the new test with a drain of 3 and 60 s, and the test of a withdrawal that takes effect later, fail before (those of 0 and 2.9 s do so with the registry's default of no time).

Why it works: where earlier starts are known, a start that drains is gone once its heartbeats have ended for the time of a lease, since a process that has sent its own DELETE sends no more. The setting for the time of a drain goes.

Changed tests: a start that drains is now never ended at once where an earlier one is known; the two tests that demanded this after drainMs check that it is gone after its lease instead, and that it stays while heartbeats come.

--- a/foxtailworks/coordinator/_program.py
+++ b/foxtailworks/coordinator/_program.py
@@ -66,7 +66,7 @@
         now = clock()
         self._session = rng.getrandbits(62)
         self.registry = discovery.Registry(
-            self._session, cfg.lease_s, cfg.drain_s, self._names_service
+            self._session, cfg.lease_s, self._names_service
         )
         self._peers = _peers.Peers(cfg.listen_address, cfg.seeds, now)
         self._committed = _committed.Committed()
--- a/foxtailworks/coordinator/_settings.py
+++ b/foxtailworks/coordinator/_settings.py
@@ -30,9 +30,6 @@
     """Limits for automatic changes of the group's membership."""
     shares_load: bool = False
     """Whether reports of load are collected and views are sent."""
-    drain_s: float = 0.0
-    """Seconds for which an instance serves at least after its announcement
-    that it drains."""
 
     def __post_init__(self) -> None:
         """Reject settings without seeds or with an invalid lease.
--- a/foxtailworks/discovery/_registry.py
+++ b/foxtailworks/discovery/_registry.py
@@ -41,8 +41,6 @@
     :param session: number that differs at each start of the process
     :param lease_s: time without a heartbeat after which an instance is no
         longer live
-    :param drain_s: shortest time from the announcement of an instance that it
-        drains to its withdrawal
     :param names_service: returns whether a service is in use; instances of
         others don't count until it is
     """
@@ -51,14 +49,12 @@
         self,
         session: int,
         lease_s: float,
-        drain_s: float = 0.0,
         names_service: _admission.NamesService = lambda service: True,
     ) -> None:
         self.admission = _admission.Admission(names_service, lease_s)
         """Decides which heartbeats count."""
         self._session = session
         self._lease_s = lease_s
-        self._drain_s = drain_s
         self._table = _table.Table()
         self._version = 0
         self._digest = 0
@@ -145,26 +141,28 @@
         """Mark the latest incarnation of an id as gone if it is withdrawn.
 
         A withdrawal doesn't say which start it is of, and one that was held
-        up may arrive after the next start.
+        up may arrive after the next start.  If earlier starts are known, the
+        latest one is gone only once its heartbeats have ended, too.
 
-        :returns: false if it is one of an earlier incarnation
+        :returns: false if it is one of an earlier incarnation, since the
+            latest one hasn't announced that it leaves
         """
         self.admission.forget(name)
         row = self._table.newest(name)
         if row is None:
             return True
-        if row.has_earlier and not self._may_withdraw(row, now):
+        if not row.has_earlier:
+            self._end(row, now)
+            return True
+        if row.instance.state is _instance.InstanceState.READY:
             return False
-        gone = row.instance.with_state(_instance.InstanceState.GONE)
-        self.announce(gone, now)
+        row.withdrawn_at = now
         return True
 
-    def _may_withdraw(self, row: _table.Row, now: float) -> bool:
-        """Return whether an instance has drained for long enough to leave."""
-        return (
-            row.instance.state is not _instance.InstanceState.READY
-            and now - row.draining_since >= self._drain_s
-        )
+    def _end(self, row: _table.Row, now: float) -> None:
+        """Mark an instance as gone."""
+        gone = row.instance.with_state(_instance.InstanceState.GONE)
+        self.announce(gone, now)
 
     def merge(
         self, heartbeats: abc.Iterable[_messages.RelayedHeartbeat], now: float
@@ -256,6 +254,8 @@
                     continue
                 row.is_live = False
                 self._record_change(row)
+                if row.withdrawn_at >= row.last_heartbeat_at:
+                    self._end(row, now)
             self._expect(row)
 
     def _due_at(self, row: _table.Row) -> float:
@@ -327,8 +327,6 @@
             row.grace_s = grace_s
         row.is_live = now <= row.last_heartbeat_at + self._lease_of(row)
         if instance.supersedes(before):
-            if before.state is _instance.InstanceState.READY:
-                row.draining_since = last_heartbeat_at
             self._table.replace(row, instance)
         if row.is_live is not was_live:
             self._expect(row)
--- a/foxtailworks/discovery/_table.py
+++ b/foxtailworks/discovery/_table.py
@@ -28,9 +28,8 @@
     """Time of its last heartbeat to this coordinator itself."""
     digest_part: int = 0
     """Its part of the registry's digest; 0 while it isn't live."""
-    draining_since: float = float("-inf")
-    """Time of the heartbeat by which the instance left the state ready; minus
-    infinity if it was in another one from the start of this row."""
+    withdrawn_at: float = float("-inf")
+    """Time of a withdrawal that may be one of an earlier start."""
     has_earlier: bool = False
     """Whether earlier incarnations of the id are known."""
 
