Review: case 8, a cold server under the id of its last start

Cause: edge hosts know that a server is cold from its heartbeats alone; one that crashes and starts again behind a cut from the core, under its id, gets new flows as a warm one.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -54,6 +54,10 @@
     "flowSlackMs": 2000,
     "flowMaxS": 60,
 }
+COLD_START_S, COLD_PER_S = 2.0, 0.0
+# As in the configurations of shifted/huaylas-rondas-now-grown.toml.
+PLACES = {"coldOvershoot": 1.5, "coldSlack": 5, "evacuateMs": 5000}
+CONTRACTS = ["base", "drain", "config", "cost", "recover", "flows"]
 
 Receive = typing.Callable[[bytes], None]
 
@@ -180,10 +184,17 @@
     """The project's processes and their settings.
 
     :param fronts: number of front machines in each zone
+    :param has_places: whether the contract ``places`` is in force
     """
 
-    def __init__(self, record: Record, fronts: tuple[int, int, int]) -> None:
+    def __init__(
+        self,
+        record: Record,
+        fronts: tuple[int, int, int],
+        has_places: bool = False,
+    ) -> None:
         self.record = record
+        self._has_places = has_places
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="foxtail-review-"))
         self._net = f"127.{random.randint(60, 250)}"
         self.running: dict[str, subprocess.Popen[bytes]] = {}
@@ -273,16 +284,9 @@
             "discovery": "registration",
             "entry": "announce",
             "heartbeatIntervalMs": round(BEAT_S * 1000),
-            "contracts": [
-                "base",
-                "drain",
-                "config",
-                "cost",
-                "recover",
-                "flows",
-            ],
+            "contracts": CONTRACTS + ["places"] * self._has_places,
             "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
-            "bounds": BOUNDS,
+            "bounds": BOUNDS | (PLACES if self._has_places else {}),
             "config_mode": "highest",
             "hash": "mod",
             "encapsulation": "echo",
@@ -408,6 +412,11 @@
         self.state = "ready"
         self.flows: dict[bytes, _Held] = {}
         self.is_running = False
+        self.is_cut = False
+        """Whether it is partitioned from the core, so that calls hang."""
+        self.cold_until = 0.0
+        self.arrivals: list[tuple[float, str]] = []
+        """Times at which requests arrived first, with their ids."""
         self._port: Port | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -443,12 +452,15 @@
                 "version": "v1",
                 "concurrencyLimit": 3,
                 "state": self.state,
-                "coldRemainingMs": 0,
+                "coldRemainingMs": self._cold_ms(),
                 "sequence": self._sequence,
                 "born": self.born,
             }
         ).encode()
 
+    def _cold_ms(self) -> int:
+        return max(0, round(1000 * (self.cold_until - time.monotonic())))
+
     @property
     def path(self) -> str:
         """Path of its heartbeats."""
@@ -456,6 +468,9 @@
 
     async def beat(self, host: str) -> bool:
         """Send one heartbeat; return whether it was acknowledged."""
+        if self.is_cut:
+            await asyncio.sleep(CALL_S)
+            return False
         status, _ = await call(host, "PUT", self.path, self.beat_body())
         return 200 <= status < 300
 
@@ -502,6 +517,7 @@
         if not body:
             return
         if body not in held.answers:
+            self.arrivals.append((time.monotonic(), request_id(body)))
             self._record.note(f"server {self.name} runs {request_id(body)}")
             held.answers[body] = answer_to(body, self.name)
         self._send(head, ACK, held.seq + 1, held.answers[body])
@@ -719,6 +735,8 @@
                 "maxConnections": 2000,
                 "protocol": "h1",
                 "tls": False,
+                "coldStartS": COLD_START_S,
+                "coldPerS": COLD_PER_S,
             }
             for name in self.services
         ]
