--- a/review/standins2.py
+++ b/review/standins2.py
@@ -96,6 +96,16 @@
     return socket.inet_ntoa(number.to_bytes(4, "big"))
 
 
+def is_free(net: str) -> bool:
+    """Return whether no other fleet uses a range of addresses."""
+    with socket.socket() as sock:
+        try:
+            sock.bind((f"{net}.1.2", CONTROL))
+        except OSError:
+            return False
+    return True
+
+
 class Port(asyncio.DatagramProtocol):
     """UDP socket that passes datagrams to a function."""
 
@@ -185,6 +195,7 @@
 
     :param fronts: number of front machines in each zone
     :param has_places: whether the contract ``places`` is in force
+    :param nets: second bytes of the addresses to try first
     """
 
     def __init__(
@@ -192,11 +203,13 @@
         record: Record,
         fronts: tuple[int, int, int],
         has_places: bool = False,
+        nets: tuple[int, ...] = (),
     ) -> None:
         self.record = record
         self._has_places = has_places
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="foxtail-review-"))
-        self._net = f"127.{random.randint(60, 250)}"
+        numbers = (*nets, *random.sample(range(20, 250), 20))
+        self._net = next(f"127.{i}" for i in numbers if is_free(f"127.{i}"))
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.ips: dict[str, str] = {}
         self.zone_of: dict[str, str] = {}
